--- /dev/null
+++ b/crates/lavenderseam_core/src/flow/key.rs
@@ -0,0 +1,40 @@
+//! Identity of a flow.
+
+use std::fmt;
+use std::net::SocketAddr;
+
+use xxhash_rust::xxh3::Xxh3;
+
+/// Identity of a flow: a hash of the caller's and the service's address, opaque to the core.
+#[derive(
+    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, serde::Serialize, serde::Deserialize,
+)]
+pub struct Key(pub u128);
+
+impl Key {
+    /// The key of the flow between two addresses, under a seed that the processes share.
+    #[must_use]
+    pub fn new(seed: u64, caller: SocketAddr, service: SocketAddr) -> Self {
+        let mut hasher = Xxh3::with_seed(seed);
+        for address in [caller, service] {
+            match address.ip() {
+                std::net::IpAddr::V4(ip) => hasher.update(&ip.octets()),
+                std::net::IpAddr::V6(ip) => hasher.update(&ip.octets()),
+            }
+            hasher.update(&address.port().to_be_bytes());
+        }
+        Self(hasher.digest128())
+    }
+
+    /// The key folded into one word, for ranking.
+    #[must_use]
+    pub fn word(self) -> u64 {
+        (self.0 >> 64) as u64 ^ self.0 as u64
+    }
+}
+
+impl fmt::Display for Key {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{:032x}", self.0)
+    }
+}
--- /dev/null
+++ b/crates/lavenderseam_platform/src/lib.rs
@@ -0,0 +1,10 @@
+//! The platform's object API, as the system uses it.
+//!
+//! [`Store`] is what the rest of the system programs against; the client of the HTTP API and the
+//! fakes of the tests implement it. The protocol is written down in `docs/design/object-api.md`.
+
+mod error;
+mod store;
+
+pub use error::Error;
+pub use store::{Condition, List, Store};
