Add the owner side of flows

The packet kind, the hint and the trail limit move from the wire crate to the core, which re-exports them, because the core's events carry them.

--- a/crates/lavenderseam_core/src/flow/mod.rs
+++ b/crates/lavenderseam_core/src/flow/mod.rs
@@ -1,7 +1,14 @@
 //! Flows: which target a packet belongs to.
 
+mod hint;
 mod key;
+mod order;
+pub mod owner;
+mod packet;
 mod token;
 
+pub use hint::Hint;
 pub use key::Key;
+pub use owner::Owner;
+pub use packet::{Kind, Packet, Reason, TRAIL_LIMIT};
 pub use token::Token;
--- a/crates/lavenderseam_wire/src/frame.rs
+++ b/crates/lavenderseam_wire/src/frame.rs
@@ -7,16 +7,13 @@
 use std::net::SocketAddr;
 
 use lavenderseam_core::catalog::Revision;
-use lavenderseam_core::flow::{self, Token};
+use lavenderseam_core::flow::{self, Hint, Kind, Token};
 use lavenderseam_core::id::{Incarnation, Tag};
 use lavenderseam_core::value;
 
 use crate::key::TAG_LENGTH;
 use crate::{Error, Key};
 
-/// Targets that one packet may visit before it is dropped.
-pub const TRAIL_LIMIT: usize = 16;
-
 /// Wire version of the frames that this program sends.
 const VERSION: u8 = 1;
 /// Bytes before the header: the version and the header's length.
@@ -24,17 +21,6 @@
 /// Longest header, in bytes.
 const HEADER_LIMIT: usize = 512;
 
-value! {
-    /// What a packet means to its flow.
-    #[derive(Copy)]
-    pub enum Kind {
-        /// It may open a flow.
-        Opener,
-        /// It belongs to a flow that is open already.
-        Continuing,
-    }
-}
-
 value! {
     /// A caller's packet on its way to the owner of its flow.
     pub struct Forward {
@@ -57,20 +43,6 @@
     }
 }
 
-value! {
-    /// Tells a balancer who owns a flow.
-    pub struct Hint {
-        /// The flow.
-        pub flow: flow::Key,
-        /// Its owner.
-        pub owner: Tag,
-        /// Whether the caller has proved that it follows this owner.
-        pub established: bool,
-        /// Open flows of the owner, for spreading new ones.
-        pub flows: u32,
-    }
-}
-
 value! {
     /// Asks a process whether it is alive.
     pub struct Probe {
--- a/crates/lavenderseam_wire/src/lib.rs
+++ b/crates/lavenderseam_wire/src/lib.rs
@@ -13,5 +13,6 @@
 mod key;
 
 pub use error::Error;
-pub use frame::{Body, Echo, Forward, Frame, Hint, Kind, Probe, TRAIL_LIMIT};
+pub use frame::{Body, Echo, Forward, Frame, Probe};
 pub use key::{Key, LENGTH as KEY_LENGTH};
+pub use lavenderseam_core::flow::{Hint, Kind, TRAIL_LIMIT};
