--- a/crates/lavenderseam_core/src/flow/order.rs
+++ b/crates/lavenderseam_core/src/flow/order.rs
@@ -22,7 +22,7 @@
 pub(crate) fn first_taker(
     service: &Service,
     flow: Key,
-    excluded: impl Fn(Tag) -> bool,
+    mut excluded: impl FnMut(Tag) -> bool,
 ) -> Option<&Candidate> {
     let wanted = taker_standing(service);
     service
@@ -36,7 +36,7 @@
 pub(crate) fn first_holder(
     service: &Service,
     flow: Key,
-    excluded: impl Fn(Tag) -> bool,
+    mut excluded: impl FnMut(Tag) -> bool,
 ) -> Option<&Candidate> {
     service
         .candidates
--- /dev/null
+++ b/crates/lavenderseam_core/src/flow/router/load.rs
@@ -0,0 +1,191 @@
+//! What a balancer knows of the targets' loads, and the choice for a new flow.
+//!
+//! The choice is between the two targets that rank first for the flow. Repeated openers of one
+//! flow may reach balancers that know slightly different loads, and they should choose alike. So
+//! there is no threshold: the share of flows that leave their first target for the second grows
+//! with the difference of the loads, and the flow's own hash says which flows belong to it. Two
+//! balancers disagree only on the flows between their two shares.
+//!
+//! A target that leaves openers unanswered while others answer is suspect: it is offered no new
+//! flows for a while, and then a single one as a trial.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use crate::flow::{Key, order};
+use crate::id::Tag;
+use crate::rank;
+use crate::time::Instant;
+use crate::view::{Candidate, Service, View};
+
+/// Share of flows moved per difference of the loads, relative to their mean.
+const GAIN: u64 = 4;
+/// Denominator of shares.
+const WHOLE: u64 = 1_000;
+/// Openers that must stay unanswered before a target is suspect.
+const UNANSWERED_LIMIT: u32 = 3;
+/// How long a suspect is offered no new flows.
+const SUSPICION: Duration = Duration::from_secs(2);
+/// Distinguishes the hash that selects moved flows from the one that ranks targets.
+const SHARE_SALT: u64 = 0x7368_6172_6564;
+
+/// Whether a target answers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Trust {
+    /// Nothing is unanswered.
+    Answers,
+    /// Openers have been unanswered since the first of them.
+    Waiting { since: Instant, unanswered: u32 },
+    /// It is offered no new flows.
+    Suspect { since: Instant },
+    /// One opener was sent to see whether it answers again.
+    Trial { since: Instant },
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Load {
+    flows: Option<u32>,
+    trust: Trust,
+}
+
+/// What a balancer knows of the targets' loads.
+#[derive(Clone, Debug)]
+pub(crate) struct Loads {
+    targets: HashMap<Tag, Load>,
+    silence: Duration,
+    answered: Instant,
+}
+
+impl Loads {
+    pub(super) fn new(silence: Duration) -> Self {
+        Self {
+            targets: HashMap::new(),
+            silence,
+            answered: Instant::default(),
+        }
+    }
+
+    /// Notes an answer of a target, with its open flows if told.
+    pub(super) fn answered(&mut self, target: Tag, flows: Option<u32>, now: Instant) {
+        self.answered = self.answered.max(now);
+        let load = self.targets.entry(target).or_default();
+        load.trust = Trust::Answers;
+        load.flows = flows.or(load.flows);
+    }
+
+    pub(super) fn retain(&mut self, view: &View) {
+        self.targets.retain(|tag, _| view.target(*tag).is_some());
+    }
+
+    /// Chooses a target for an opener; `silent` has left an earlier one unanswered.
+    pub(super) fn choose<'a>(
+        &mut self,
+        flow: Key,
+        service: &'a Service,
+        silent: Option<Tag>,
+        now: Instant,
+    ) -> Option<&'a Candidate> {
+        let target = self.pick(flow, service, silent, now)?;
+        self.sent(target.tag, now);
+        Some(target)
+    }
+
+    fn pick<'a>(
+        &mut self,
+        flow: Key,
+        service: &'a Service,
+        silent: Option<Tag>,
+        now: Instant,
+    ) -> Option<&'a Candidate> {
+        let avoided = |loads: &mut Self, tag| Some(tag) == silent || loads.is_avoided(tag, now);
+        let Some(first) = order::first_taker(service, flow, |tag| avoided(self, tag)) else {
+            return order::first_taker(service, flow, |tag| Some(tag) == silent)
+                .or_else(|| order::first_taker(service, flow, |_| false));
+        };
+        let excluded = |tag| tag == first.tag || avoided(self, tag);
+        let Some(second) = order::first_taker(service, flow, excluded) else {
+            return Some(first);
+        };
+        let moved = self.moved_share(service, first.tag, second.tag);
+        let place = rank::score(flow.word(), SHARE_SALT) % WHOLE;
+        Some(if place < moved { second } else { first })
+    }
+
+    /// Share of the flows of `first` that go to `second`, in thousandths.
+    fn moved_share(&self, service: &Service, first: Tag, second: Tag) -> u64 {
+        let (Some(first), Some(second)) = (self.flows(first), self.flows(second)) else {
+            return 0;
+        };
+        let known = service.candidates.iter().filter(|c| c.takes_flows());
+        let (sum, count) = known
+            .filter_map(|candidate| self.flows(candidate.tag))
+            .fold((0, 0), |(sum, count), flows| (sum + flows, count + 1));
+        let excess = first.saturating_sub(second);
+        let mean = (sum / count.max(1)).max(1);
+        (excess * GAIN * WHOLE / mean).min(WHOLE)
+    }
+
+    fn flows(&self, target: Tag) -> Option<u64> {
+        self.targets.get(&target)?.flows.map(u64::from)
+    }
+
+    fn sent(&mut self, target: Tag, now: Instant) {
+        let load = self.targets.entry(target).or_default();
+        load.trust = match load.trust {
+            Trust::Answers => Trust::Waiting {
+                since: now,
+                unanswered: 1,
+            },
+            // Callers that all targets refuse leave openers unanswered too, but few and far between.
+            Trust::Waiting { since, unanswered }
+                if unanswered < UNANSWERED_LIMIT && now.since(since) >= SUSPICION =>
+            {
+                Trust::Waiting {
+                    since: now,
+                    unanswered: 1,
+                }
+            }
+            Trust::Waiting { since, unanswered } => Trust::Waiting {
+                since,
+                unanswered: unanswered.saturating_add(1),
+            },
+            Trust::Suspect { .. } | Trust::Trial { .. } => Trust::Trial { since: now },
+        };
+    }
+
+    /// Whether a target is left out for now because it doesn't answer.
+    fn is_avoided(&mut self, target: Tag, now: Instant) -> bool {
+        let answered = self.answered;
+        let silence = self.silence;
+        let Some(load) = self.targets.get_mut(&target) else {
+            return false;
+        };
+        match load.trust {
+            Trust::Answers => false,
+            Trust::Waiting { since, unanswered } => {
+                let silent = now.since(since) >= silence && answered > since;
+                let suspect = silent && unanswered >= UNANSWERED_LIMIT;
+                if suspect {
+                    load.trust = Trust::Suspect { since: now };
+                }
+                suspect
+            }
+            Trust::Suspect { since } => now.since(since) < SUSPICION,
+            Trust::Trial { since } => {
+                if now.since(since) >= silence {
+                    load.trust = Trust::Suspect { since: now };
+                }
+                true
+            }
+        }
+    }
+}
+
+impl Default for Load {
+    fn default() -> Self {
+        Self {
+            flows: None,
+            trust: Trust::Answers,
+        }
+    }
+}
