--- a/crates/lavenderseam_telemetry/src/lib.rs
+++ b/crates/lavenderseam_telemetry/src/lib.rs
@@ -4,6 +4,7 @@
 //! Metrics go to a statsd collector over UDP. A trace is followed by its [`trace::Id`] from the
 //! caller over balancer and agent to the backend server, with a span for each hop in the log.
 
+mod line;
 pub mod log;
 pub mod metrics;
 pub mod trace;
--- a/crates/lavenderseam_telemetry/src/trace.rs
+++ b/crates/lavenderseam_telemetry/src/trace.rs
@@ -2,6 +2,7 @@
 
 use std::fmt;
 use std::str::FromStr;
+use std::time::{Instant, SystemTime};
 
 /// Identity of a trace; the first connection id of a flow carries it, and requests carry it in the
 /// `traceparent` header.
@@ -25,6 +26,66 @@
     Backend,
 }
 
+/// One hop's share of a trace; logged when it ends.
+#[derive(Debug)]
+pub struct Span {
+    hop: Hop,
+    name: &'static str,
+    trace: Id,
+    start: SystemTime,
+    begun: Instant,
+}
+
+impl Hop {
+    /// The hop's name in log lines.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Caller => "caller",
+            Self::Balancer => "balancer",
+            Self::Agent => "agent",
+            Self::Backend => "backend",
+        }
+    }
+}
+
+impl Span {
+    /// Begins a span.
+    #[must_use]
+    pub fn new(hop: Hop, name: &'static str, trace: Id) -> Self {
+        Self {
+            hop,
+            name,
+            trace,
+            start: SystemTime::now(),
+            begun: Instant::now(),
+        }
+    }
+
+    /// Ends the span; so does dropping it.
+    pub fn end(self) {}
+}
+
+impl Drop for Span {
+    fn drop(&mut self) {
+        let duration_us = micros(self.begun.elapsed());
+        let start_us = micros(
+            self.start
+                .duration_since(SystemTime::UNIX_EPOCH)
+                .unwrap_or_default(),
+        );
+        let (hop, name, trace) = (self.hop.name(), self.name, self.trace);
+        spdlog::info!(
+            "{hop}: span {name} took {duration_us} us",
+            kv: { trace:, span = name, start_us, duration_us }
+        );
+    }
+}
+
+fn micros(span: std::time::Duration) -> u64 {
+    u64::try_from(span.as_micros()).unwrap_or(u64::MAX)
+}
+
 impl fmt::Display for Id {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         self.0
@@ -49,3 +110,11 @@
         Ok(Self(id))
     }
 }
+
+impl fmt::Display for Malformed {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str("a trace id is 32 hexadecimal digits")
+    }
+}
+
+impl std::error::Error for Malformed {}
