Add the balancer daemon

Receive threads read the QUIC header, ask the router and send sealed frames; another takes hints. The control plane's plugin is stood in for until it has landed.

--- /dev/null
+++ b/crates/lavenderseam_balancer/src/bin/lavenderseam-balancer.rs
@@ -0,0 +1,78 @@
+//! The balancer daemon.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use argh::FromArgs;
+use lavenderseam_app::{App, Error};
+use lavenderseam_balancer::{BalancerPlugin, Settings};
+use lavenderseam_telemetry::{Log, log};
+
+const LOG: Log = Log::new("balancer");
+
+/// Exit code after a failure at run time.
+const FAILED: u8 = 1;
+/// Exit code for bad settings or arguments.
+const MISUSED: u8 = 2;
+
+/// Forwards callers' packets to the agents of a service's targets.
+#[derive(FromArgs)]
+struct Arguments {
+    /// settings file (TOML)
+    #[argh(option)]
+    settings: PathBuf,
+    /// check the settings and exit
+    #[argh(switch)]
+    check: bool,
+}
+
+fn main() -> ExitCode {
+    let arguments = match parse() {
+        Ok(arguments) => arguments,
+        Err(code) => return code,
+    };
+    let settings = match Settings::load(&arguments.settings) {
+        Ok(settings) => settings,
+        Err(error) => {
+            eprintln!("{error}");
+            return ExitCode::from(MISUSED);
+        }
+    };
+    if arguments.check {
+        return ExitCode::SUCCESS;
+    }
+    log::start(settings.log);
+    match run(settings) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            LOG.error(error);
+            ExitCode::from(FAILED)
+        }
+    }
+}
+
+fn parse() -> Result<Arguments, ExitCode> {
+    let arguments: Vec<String> = std::env::args().collect();
+    let arguments: Vec<&str> = arguments.iter().map(String::as_str).collect();
+    let (name, rest) = arguments
+        .split_first()
+        .unwrap_or((&"lavenderseam-balancer", &[]));
+    Arguments::from_args(&[name], rest).map_err(|exit| match exit.status {
+        Ok(()) => {
+            println!("{}", exit.output);
+            ExitCode::SUCCESS
+        }
+        Err(()) => {
+            eprintln!("{}", exit.output);
+            ExitCode::from(MISUSED)
+        }
+    })
+}
+
+#[tokio::main]
+async fn run(settings: Settings) -> Result<(), Error> {
+    let mut app = App::new();
+    app.add(&lavenderseam_balancer::ControlStub::new(&settings))?
+        .add(&BalancerPlugin::new(settings))?;
+    app.run().await
+}
--- a/crates/lavenderseam_core/src/flow/key.rs
+++ b/crates/lavenderseam_core/src/flow/key.rs
@@ -3,7 +3,7 @@
 use std::fmt;
 use std::net::SocketAddr;
 
-use xxhash_rust::xxh3::Xxh3;
+use xxhash_rust::xxh3::{Xxh3, xxh3_128_with_seed};
 
 /// Identity of a flow: a hash of the caller's and the service's address, opaque to the core.
 #[derive(
@@ -26,6 +26,13 @@
         Self(hasher.digest128())
     }
 
+    /// The key of one of several connections between the same two addresses, for transports whose
+    /// openers carry a connection id of the caller's choice.
+    #[must_use]
+    pub fn with_connection(self, id: &[u8]) -> Self {
+        Self(self.0 ^ xxh3_128_with_seed(id, self.word()))
+    }
+
     /// The key folded into one word, for ranking.
     #[must_use]
     pub fn word(self) -> u64 {
