Announce each process in the store and publish views from its watch

The control plugin inserts the resources that the other plugins share, writes the process' own record conditionally, follows the store and serves status. Every process watches the store until the relay is in place. Not yet tested beyond compiling.

--- a/crates/lavenderseam_control/src/gate.rs
+++ b/crates/lavenderseam_control/src/gate.rs
@@ -1,23 +1,65 @@
 //! Whether a process may act on its view.
 
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+
+/// A process whose clock was not renewed for this long was paused.
+pub(crate) const PAUSE_LIMIT: Duration = Duration::from_millis(1500);
 
 /// Closed while the process has just been paused and hasn't yet checked its records with a peer or
 /// the store; a resource of every daemon. Packets that arrive while it is closed are dropped.
-#[derive(Debug, Default)]
+///
+/// The control plane renews the gate at every tick. A gate that wasn't renewed in time counts as
+/// closed at once, so a process that resumes doesn't act before the control plane has run.
+#[derive(Debug)]
 pub struct Gate {
     open: AtomicBool,
+    origin: Instant,
+    /// Milliseconds after `origin`.
+    renewed: AtomicU64,
 }
 
 impl Gate {
+    /// A closed gate.
+    #[must_use]
+    pub fn new() -> Self {
+        Self {
+            open: AtomicBool::new(false),
+            origin: Instant::now(),
+            renewed: AtomicU64::new(0),
+        }
+    }
+
     /// Whether the process may act on its view.
     #[must_use]
     pub fn is_open(&self) -> bool {
-        self.open.load(Ordering::Acquire)
+        self.open.load(Ordering::Acquire) && self.lapse() <= PAUSE_LIMIT
     }
 
-    /// Opens or closes the gate.
+    /// Opens or closes the gate, and renews it.
     pub fn set(&self, open: bool) {
+        self.renew();
         self.open.store(open, Ordering::Release);
     }
+
+    /// Notes that the process runs.
+    pub(crate) fn renew(&self) {
+        self.renewed.store(self.elapsed(), Ordering::Release);
+    }
+
+    /// Time since the gate was last renewed.
+    fn lapse(&self) -> Duration {
+        let renewed = self.renewed.load(Ordering::Acquire);
+        Duration::from_millis(self.elapsed().saturating_sub(renewed))
+    }
+
+    fn elapsed(&self) -> u64 {
+        u64::try_from(self.origin.elapsed().as_millis()).unwrap_or(u64::MAX)
+    }
+}
+
+impl Default for Gate {
+    fn default() -> Self {
+        Self::new()
+    }
 }
--- a/crates/lavenderseam_control/src/lib.rs
+++ b/crates/lavenderseam_control/src/lib.rs
@@ -1,15 +1,28 @@
 //! The control plane that balancers and agents share: identity, records, membership, liveness.
+//!
+//! [`ControlPlugin`] is the first plugin of every daemon; the others use the resources that it
+//! inserts: [`Identity`], [`Views`], [`Gate`], [`Methods`], [`Announcement`], [`Remote`] and the
+//! metrics.
 
+mod announce;
 mod gate;
 mod identity;
 mod methods;
 mod phase;
+mod plugin;
+pub mod remote;
 mod settings;
+mod shared;
+mod status;
 mod views;
+mod watch;
 
 pub use gate::Gate;
 pub use identity::{Identity, Role};
 pub use methods::Methods;
 pub use phase::Announcement;
+pub use plugin::ControlPlugin;
+pub use remote::Remote;
 pub use settings::Settings;
+pub use status::Status;
 pub use views::Views;
--- a/crates/lavenderseam_platform/src/error.rs
+++ b/crates/lavenderseam_platform/src/error.rs
@@ -21,6 +21,8 @@
     Unanswered,
     /// The value exceeds the platform's limit; nothing was written.
     Oversized,
+    /// The platform no longer keeps the writes after the revision of a watch: list anew.
+    Gone,
     /// The platform rejected the call or answered something that can't be read.
     Protocol(String),
 }
@@ -47,6 +49,7 @@
             Self::Unreachable => formatter.write_str("the platform can't be reached"),
             Self::Unanswered => formatter.write_str("the platform didn't answer"),
             Self::Oversized => formatter.write_str("the record exceeds the platform's limit"),
+            Self::Gone => formatter.write_str("the platform no longer keeps these writes"),
             Self::Protocol(detail) => write!(formatter, "the platform answered oddly: {detail}"),
         }
     }
