--- a/crates/lavenderseam_core/src/catalog/digest.rs
+++ b/crates/lavenderseam_core/src/catalog/digest.rs
@@ -9,7 +9,9 @@
 pub const BUCKETS: usize = 64;
 
 value! {
-    /// For each bucket of identities, the exclusive or of the hashes of what it holds.
+    /// For each bucket of identities, the exclusive or of the hashes of the records it holds.
+    ///
+    /// Deletions aren't covered, because processes forget them at different times.
     pub struct Digest {
         buckets: Vec<u64>,
     }
--- a/crates/lavenderseam_core/src/catalog/mod.rs
+++ b/crates/lavenderseam_core/src/catalog/mod.rs
@@ -19,7 +19,8 @@
 mod digest;
 mod entry;
 
-use std::collections::BTreeMap;
+use std::cmp::Ordering;
+use std::collections::{BTreeMap, BTreeSet};
 
 pub use digest::{BUCKETS, Digest};
 pub use entry::{Entry, Revision};
@@ -38,29 +39,94 @@
 }
 
 /// All records that a process holds, deletions included.
+///
+/// A catalog is complete through a revision when each record it holds is at least as new as the
+/// store was at that revision. It then needs no deletions up to there: an entry of a record that
+/// it doesn't hold, at or below that revision, has been deleted since and is stale.
 #[derive(Clone, Debug, Default)]
 pub struct Catalog {
     entries: BTreeMap<Id, Entry>,
     digest: Digest,
     head: Revision,
+    complete: Revision,
+    deletions: BTreeSet<(Revision, Id)>,
 }
 
 impl Catalog {
     /// Takes an entry if it is newer than what is held.
     pub fn apply(&mut self, entry: Entry) -> Applied {
-        if let Some(held) = self.entries.get(&entry.id) {
-            if held.revision == entry.revision {
-                return Applied::Same;
-            }
-            if held.revision > entry.revision {
+        let Some(held) = self.entries.get(&entry.id) else {
+            if entry.revision <= self.complete {
                 return Applied::Stale;
             }
-            self.digest.toggle(&entry.id, held.revision);
+            self.insert(entry);
+            return Applied::Newer;
+        };
+        match held.revision.cmp(&entry.revision) {
+            Ordering::Equal => Applied::Same,
+            Ordering::Greater => Applied::Stale,
+            Ordering::Less => {
+                self.remove(&entry.id);
+                self.insert(entry);
+                Applied::Newer
+            }
+        }
+    }
+
+    /// Records held at or below a revision that are missing from `present`, which names all records
+    /// that the store or a peer complete through that revision holds among those in `within`.
+    pub fn missing(
+        &self,
+        revision: Revision,
+        present: &BTreeSet<Id>,
+        within: impl Fn(&Id) -> bool,
+    ) -> Vec<Id> {
+        self.entries
+            .values()
+            .filter(|entry| entry.document.is_some() && entry.revision <= revision)
+            .filter(|entry| within(&entry.id) && !present.contains(&entry.id))
+            .map(|entry| entry.id.clone())
+            .collect()
+    }
+
+    /// Notes that the catalog is complete through a revision and forgets deletions up to there.
+    pub fn confirm(&mut self, revision: Revision) {
+        self.complete = self.complete.max(revision);
+        while let Some((deleted, _)) = self.deletions.first() {
+            if *deleted > self.complete {
+                break;
+            }
+            if let Some((_, id)) = self.deletions.pop_first() {
+                self.entries.remove(&id);
+            }
         }
-        self.digest.toggle(&entry.id, entry.revision);
+    }
+
+    /// Revision that the catalog is complete through.
+    #[must_use]
+    pub fn complete(&self) -> Revision {
+        self.complete
+    }
+
+    fn insert(&mut self, entry: Entry) {
         self.head = self.head.max(entry.revision);
+        if entry.document.is_some() {
+            self.digest.toggle(&entry.id, entry.revision);
+        } else {
+            self.deletions.insert((entry.revision, entry.id.clone()));
+        }
         self.entries.insert(entry.id.clone(), entry);
-        Applied::Newer
+    }
+
+    fn remove(&mut self, id: &Id) {
+        let Some(held) = self.entries.remove(id) else {
+            return;
+        };
+        if held.document.is_some() {
+            self.digest.toggle(id, held.revision);
+        } else {
+            self.deletions.remove(&(held.revision, held.id));
+        }
     }
 
     /// Highest revision held.
--- a/crates/lavenderseam_core/src/rank/mod.rs
+++ b/crates/lavenderseam_core/src/rank/mod.rs
@@ -3,6 +3,10 @@
 //! Every process that knows the same members ranks them alike for a key, without an election, and
 //! one member's arrival or departure moves only the keys that it wins or held.
 
+mod cells;
+
+pub use cells::Cells;
+
 /// Score of a member for a key; the highest score ranks first.
 #[must_use]
 pub fn score(key: u64, member: u64) -> u64 {
--- /dev/null
+++ b/crates/lavenderseam_core/src/relay/node/forward.rs
@@ -0,0 +1,111 @@
+//! Records sent unasked.
+
+use std::time::Duration;
+
+use super::{Action, Node};
+use crate::record::Id;
+use crate::relay::freshness::Freshness;
+use crate::relay::{MemberId, Push, Stamp};
+use crate::time::Instant;
+
+/// Most records taken at once that are pushed on one by one; more are left to repair.
+const FORWARD_LIMIT: usize = 256;
+/// Gain of freshness that is worth a stamp of its own.
+const STAMP_STEP: Duration = Duration::from_secs(2);
+
+impl Node {
+    pub(super) fn pushed(&mut self, push: Push, now: Instant, actions: &mut Vec<Action>) {
+        self.heard = now;
+        self.take(push.entries, Some(push.from), actions);
+        self.stamped_by(push.from, push.stamp, now);
+    }
+
+    /// Takes the stamp of another process.
+    pub(super) fn stamped_by(&mut self, from: MemberId, stamp: Stamp, now: Instant) {
+        if stamp.root == self.catalog.digest().root() {
+            self.catalog.confirm(stamp.complete);
+            self.clear_repair(from);
+        } else {
+            self.start_repair(from, now);
+        }
+        let Some(age_ms) = stamp.age_ms else {
+            return;
+        };
+        let freshness = Freshness::new(age_ms, stamp.origin, now);
+        self.heard_watcher(stamp.origin, freshness.at);
+        // Records that differ from those of a fresh process are not as fresh.
+        if stamp.root == self.catalog.digest().root() {
+            self.freshen(freshness);
+        }
+    }
+
+    pub(super) fn delivered(&mut self, to: MemberId, arrived: bool, now: Instant) {
+        if let Some(outbox) = self.outboxes.get_mut(&to) {
+            outbox.delivered(arrived, now);
+        }
+    }
+
+    /// Notes that the records are as fresh, and stamps the children if that is news.
+    pub(super) fn freshen(&mut self, freshness: Freshness) {
+        if self.freshness.is_some_and(|held| held.at >= freshness.at) {
+            return;
+        }
+        self.freshness = Some(freshness);
+        if self
+            .stamped
+            .is_some_and(|stamped| freshness.at.since(stamped) < STAMP_STEP)
+        {
+            return;
+        }
+        self.stamped = Some(freshness.at);
+        for (child, preferred) in &self.tree.children {
+            if *preferred {
+                self.outboxes.entry(*child).or_default().add_stamp();
+            }
+        }
+    }
+
+    /// Passes records on: what came from a parent to the children, anything else to the parents
+    /// too.
+    pub(super) fn forward(&mut self, ids: &[Id], from: Option<MemberId>) {
+        if ids.len() > FORWARD_LIMIT {
+            return;
+        }
+        let down = from.is_some_and(|from| self.tree.parents.contains(&from));
+        let parents = if down {
+            &[][..]
+        } else {
+            &self.tree.parents[..]
+        };
+        let neighbours = self.tree.children.keys().chain(parents);
+        for to in neighbours.filter(|to| Some(**to) != from) {
+            let outbox = self.outboxes.entry(*to).or_default();
+            ids.iter().for_each(|id| outbox.add(id));
+        }
+    }
+
+    /// Sends what waits.
+    pub(super) fn flush(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        let stamp = self.stamp(now);
+        for (to, outbox) in &mut self.outboxes {
+            let Some(member) = self.members.get(*to) else {
+                continue;
+            };
+            let Some(ids) = outbox.next(now) else {
+                continue;
+            };
+            let entries = ids.iter().filter_map(|id| self.catalog.entry(id).cloned());
+            let push = Push {
+                from: self.own.id,
+                entries: entries.collect(),
+                stamp,
+            };
+            let address = member.rpc;
+            actions.push(Action::Push {
+                to: *to,
+                address,
+                push,
+            });
+        }
+    }
+}
