--- a/crates/lavenderseam_app/src/app.rs
+++ b/crates/lavenderseam_app/src/app.rs
@@ -10,7 +10,7 @@
 
 use crate::resources::Resources;
 use crate::shutdown::{Control, Handle};
-use crate::{Error, Plugin, Shutdown};
+use crate::{Error, Plugin, Shutdown, Stopper};
 
 type Run = Pin<Box<dyn Future<Output = ()> + Send>>;
 
@@ -69,6 +69,12 @@
         self.control.shutdown()
     }
 
+    /// A handle that begins the planned stop as SIGTERM does.
+    #[must_use]
+    pub fn stopper(&self) -> Stopper {
+        self.control.stopper()
+    }
+
     /// Registers a task; it starts when the app runs and must end once the app is halted.
     pub fn spawn(&mut self, name: &'static str, run: impl Future<Output = ()> + Send + 'static) {
         self.tasks.push(Task {
@@ -91,6 +97,7 @@
             tokio::select! {
                 _ = terminate.recv() => {}
                 _ = interrupt.recv() => {}
+                () = control.stop_requested() => {}
             }
             control.drain();
             control.drained().await;
--- a/crates/lavenderseam_app/src/lib.rs
+++ b/crates/lavenderseam_app/src/lib.rs
@@ -36,4 +36,4 @@
 pub use app::App;
 pub use error::Error;
 pub use plugin::Plugin;
-pub use shutdown::{Guard, Phase, Shutdown};
+pub use shutdown::{Guard, Phase, Shutdown, Stopper};
--- a/crates/lavenderseam_app/src/shutdown.rs
+++ b/crates/lavenderseam_app/src/shutdown.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 
 /// Step of an app's life.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -27,10 +27,17 @@
     guards: watch::Sender<usize>,
 }
 
+/// Begins the planned stop of an app.
+#[derive(Clone)]
+pub struct Stopper {
+    request: Arc<Notify>,
+}
+
 /// Drives the steps of the planned stop.
 pub(crate) struct Control {
     phase: watch::Sender<Phase>,
     guards: watch::Sender<usize>,
+    request: Arc<Notify>,
 }
 
 impl Shutdown {
@@ -65,11 +72,19 @@
     }
 }
 
+impl Stopper {
+    /// Begins the planned stop; a stop that has begun is not affected.
+    pub fn stop(&self) {
+        self.request.notify_one();
+    }
+}
+
 impl Control {
     pub(crate) fn new() -> Self {
         Self {
             phase: watch::Sender::new(Phase::Running),
             guards: watch::Sender::new(0),
+            request: Arc::default(),
         }
     }
 
@@ -80,6 +95,16 @@
         }
     }
 
+    pub(crate) fn stopper(&self) -> Stopper {
+        Stopper {
+            request: Arc::clone(&self.request),
+        }
+    }
+
+    pub(crate) async fn stop_requested(&self) {
+        self.request.notified().await;
+    }
+
     pub(crate) fn drain(&self) {
         self.phase.send_replace(Phase::Draining);
     }
--- /dev/null
+++ b/crates/lavenderseam_app/tests/app.rs
@@ -0,0 +1,85 @@
+//! Assembly of plugins and the order of a planned stop.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use googletest::prelude::*;
+use lavenderseam_app::{App, Error, Phase, Plugin};
+use parking_lot::Mutex;
+
+struct Number(u32);
+
+struct Provider;
+
+impl Plugin for Provider {
+    fn build(&self, app: &mut App) -> std::result::Result<(), Error> {
+        app.insert(Number(7));
+        Ok(())
+    }
+}
+
+struct Consumer;
+
+impl Plugin for Consumer {
+    fn build(&self, app: &mut App) -> std::result::Result<(), Error> {
+        app.resource::<Number>().map(|_| ())
+    }
+}
+
+#[gtest]
+fn a_plugin_reads_what_an_earlier_one_inserts() -> Result<()> {
+    let mut app = App::new();
+    app.add(&Provider).or_fail()?;
+    app.add(&Consumer).or_fail()?;
+    verify_that!(app.resource::<Number>().or_fail()?.0, eq(7))
+}
+
+#[gtest]
+fn a_missing_resource_names_its_type() {
+    let mut app = App::new();
+    let error = app.add(&Consumer).err().map(|error| error.to_string());
+    expect_that!(error, some(contains_substring("Number")));
+}
+
+#[gtest]
+#[tokio::test]
+async fn tasks_halt_only_after_every_guard_is_dropped() -> Result<()> {
+    let events = Arc::new(Mutex::new(Vec::new()));
+    let mut app = App::new();
+    let stop = app.stopper();
+
+    let mut shutdown = app.shutdown();
+    let guard = shutdown.guard();
+    let log = Arc::clone(&events);
+    app.spawn("drainer", async move {
+        shutdown.draining().await;
+        tokio::task::yield_now().await;
+        log.lock().push("drained");
+        drop(guard);
+    });
+
+    let mut shutdown = app.shutdown();
+    let log = Arc::clone(&events);
+    app.spawn("server", async move {
+        shutdown.halted().await;
+        log.lock().push("halted");
+    });
+
+    expect_that!(app.shutdown().phase(), eq(Phase::Running));
+    let running = tokio::spawn(app.run());
+    stop.stop();
+    let ended = tokio::time::timeout(Duration::from_secs(10), running)
+        .await
+        .or_fail()?;
+    ended.or_fail()?.or_fail()?;
+    verify_that!(*events.lock(), elements_are![eq(&"drained"), eq(&"halted")])
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_panicking_task_ends_the_app_with_its_name() {
+    let mut app = App::new();
+    app.spawn("faulty", async { panic!("injected") });
+    let ended = app.run().await.err().map(|error| error.to_string());
+    expect_that!(ended, some(contains_substring("faulty")));
+}
