--- a/crates/lavenderseam_core/src/view/service.rs
+++ b/crates/lavenderseam_core/src/view/service.rs
@@ -1,5 +1,7 @@
 //! A service as routing sees it.
 
+use std::sync::Arc;
+
 use super::Candidate;
 use crate::{id, record};
 
@@ -13,5 +15,5 @@
     /// What one target of the group bears.
     pub bears: record::Group,
     /// All targets of the group, whatever their standing.
-    pub candidates: Vec<Candidate>,
+    pub candidates: Arc<[Candidate]>,
 }
--- /dev/null
+++ b/crates/lavenderseam_core/tests/naive/mod.rs
@@ -0,0 +1,3 @@
+//! Naive versions that the real core is compared with.
+
+pub mod view;
--- /dev/null
+++ b/crates/lavenderseam_core/tests/naive/view.rs
@@ -0,0 +1,115 @@
+//! The routing view compiled afresh from the whole catalog, in one table after the other.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::net::SocketAddr;
+
+use lavenderseam_core::catalog::Catalog;
+use lavenderseam_core::id;
+use lavenderseam_core::record::{self, DomainState};
+use lavenderseam_core::view::{Candidate, Service, Standing};
+
+const QUORUM_DOWN: usize = 2;
+
+/// All services and all targets of a catalog.
+pub fn compile(catalog: &Catalog) -> (HashMap<SocketAddr, Service>, Vec<Candidate>) {
+    let out = domains_out(catalog);
+    let targets = candidates(catalog, &out);
+    let services = services(catalog, &groups(catalog), &targets);
+    (services, targets)
+}
+
+fn domains_out(catalog: &Catalog) -> BTreeSet<id::Domain> {
+    catalog
+        .records::<record::Domain>()
+        .filter(|(_, domain)| domain.state == DomainState::Out)
+        .filter_map(|(name, _)| id::Domain::new(name).ok())
+        .collect()
+}
+
+fn groups(catalog: &Catalog) -> BTreeMap<id::Group, record::Group> {
+    catalog
+        .records::<record::Group>()
+        .filter_map(|(name, group)| Some((id::Group::new(name).ok()?, group)))
+        .collect()
+}
+
+fn down(catalog: &Catalog) -> BTreeMap<(id::Target, id::Incarnation), usize> {
+    let mut votes = BTreeMap::new();
+    for (_, verdict) in catalog.records::<record::Verdict>() {
+        for down in verdict.down {
+            *votes.entry((down.target, down.incarnation)).or_insert(0) += 1;
+        }
+    }
+    votes
+}
+
+fn candidates(catalog: &Catalog, out: &BTreeSet<id::Domain>) -> Vec<Candidate> {
+    let draining: BTreeSet<id::Target> = catalog
+        .records::<record::Drain>()
+        .map(|(_, drain)| drain.target)
+        .collect();
+    let votes = down(catalog);
+    catalog
+        .records::<record::Target>()
+        .filter_map(|(name, target)| {
+            let name = id::Target::new(name).ok()?;
+            let against = votes
+                .get(&(name.clone(), target.incarnation))
+                .copied()
+                .unwrap_or(0);
+            let standing = if out.contains(&target.domain) {
+                Standing::Out
+            } else if target.phase == record::Phase::Leaving || draining.contains(&name) {
+                Standing::Draining
+            } else if against >= QUORUM_DOWN {
+                Standing::Down
+            } else {
+                Standing::Serving
+            };
+            Some(Candidate::new(name, target, standing))
+        })
+        .collect()
+}
+
+fn services(
+    catalog: &Catalog,
+    groups: &BTreeMap<id::Group, record::Group>,
+    targets: &[Candidate],
+) -> HashMap<SocketAddr, Service> {
+    let mut by_group: BTreeMap<&id::Group, Vec<&Candidate>> = BTreeMap::new();
+    for target in targets {
+        by_group.entry(&target.group).or_default().push(target);
+    }
+    let mut services = HashMap::new();
+    let mut records: Vec<_> = catalog.records::<record::Service>().collect();
+    // Of several services that claim an address, the first by name holds it.
+    records.reverse();
+    for (name, record) in records {
+        let Ok(name) = id::Service::new(name) else {
+            continue;
+        };
+        let Some(group) = groups.get(&record.group) else {
+            // A claim holds even while its group is unknown.
+            record
+                .addresses
+                .iter()
+                .for_each(|address| drop(services.remove(address)));
+            continue;
+        };
+        let members = by_group
+            .get(&record.group)
+            .map(Vec::as_slice)
+            .unwrap_or_default();
+        let candidates: Vec<Candidate> = members.iter().map(|member| (*member).clone()).collect();
+        for address in &record.addresses {
+            let service = Service {
+                name: name.clone(),
+                group: record.group.clone(),
+                bears: group.clone(),
+                candidates: candidates.clone().into(),
+            };
+            services.insert(*address, service);
+        }
+    }
+    services
+}
