Add the stand-ins and a launcher that starts whole deployments

The fabric, the platform's object API and the backend servers run as processes of their own; the launcher writes settings, key and certificates into a fresh directory, starts every process, applies the operators' records and ends all of them by their handles.

--- /dev/null
+++ b/crates/lavenderseam_bench/src/commands/mod.rs
@@ -0,0 +1,43 @@
+//! The subcommands.
+
+mod stand_in;
+mod up;
+
+use std::process::ExitCode;
+
+use argh::FromArgs;
+use lavenderseam_bench::Error;
+
+/// A subcommand.
+#[derive(FromArgs)]
+#[argh(subcommand)]
+pub(crate) enum Command {
+    Up(up::Up),
+    Fabric(stand_in::Fabric),
+    Platform(stand_in::Platform),
+    Backend(stand_in::Backend),
+}
+
+impl Command {
+    /// Executes the subcommand.
+    pub(crate) async fn execute(self) -> Result<ExitCode, Error> {
+        match self {
+            Self::Up(up) => up.execute().await,
+            Self::Fabric(fabric) => fabric.execute().await,
+            Self::Platform(platform) => platform.execute().await,
+            Self::Backend(backend) => backend.execute().await,
+        }
+    }
+}
+
+/// Waits until the user or the system asks the bench to end.
+pub(crate) async fn interrupted() {
+    use tokio::signal::unix::{SignalKind, signal};
+    let Ok(mut terminate) = signal(SignalKind::terminate()) else {
+        return;
+    };
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = tokio::signal::ctrl_c() => {}
+    }
+}
--- /dev/null
+++ b/crates/lavenderseam_bench/src/commands/stand_in.rs
@@ -0,0 +1,56 @@
+//! Subcommands that run one stand-in.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use argh::FromArgs;
+use lavenderseam_bench::Error;
+use lavenderseam_bench::standins::{backend, fabric, load, platform};
+
+/// Run the fabric stand-in.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "fabric")]
+pub(crate) struct Fabric {
+    /// settings file
+    #[argh(option)]
+    settings: PathBuf,
+}
+
+/// Run the platform stand-in.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "platform")]
+pub(crate) struct Platform {
+    /// settings file
+    #[argh(option)]
+    settings: PathBuf,
+}
+
+/// Run a backend server stand-in.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "backend")]
+pub(crate) struct Backend {
+    /// settings file
+    #[argh(option)]
+    settings: PathBuf,
+}
+
+impl Fabric {
+    pub(crate) async fn execute(self) -> Result<ExitCode, Error> {
+        fabric::run(load(&self.settings)?).await?;
+        Ok(ExitCode::SUCCESS)
+    }
+}
+
+impl Platform {
+    pub(crate) async fn execute(self) -> Result<ExitCode, Error> {
+        platform::run(load(&self.settings)?).await?;
+        Ok(ExitCode::SUCCESS)
+    }
+}
+
+impl Backend {
+    pub(crate) async fn execute(self) -> Result<ExitCode, Error> {
+        backend::run(load(&self.settings)?).await?;
+        Ok(ExitCode::SUCCESS)
+    }
+}
--- /dev/null
+++ b/crates/lavenderseam_bench/src/launcher/files.rs
@@ -0,0 +1,129 @@
+//! Settings files of the processes.
+
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+
+use serde::Serialize;
+
+use super::credentials::{Credentials, write};
+use super::{Deployment, Network, Placement};
+use crate::Error;
+
+/// Region of all processes.
+const REGION: &str = "home";
+
+#[derive(Serialize)]
+struct Control {
+    domain: String,
+    region: &'static str,
+    peer: SocketAddr,
+    rpc: SocketAddr,
+    store: SocketAddr,
+    key_file: PathBuf,
+    seeds: Vec<SocketAddr>,
+}
+
+#[derive(Serialize)]
+struct Log {
+    level: &'static str,
+}
+
+#[derive(Serialize)]
+struct Balancer {
+    name: String,
+    fabric: SocketAddr,
+    fabric_sources: Vec<SocketAddr>,
+    control: Control,
+    log: Log,
+}
+
+#[derive(Serialize)]
+struct Agent {
+    name: String,
+    group: &'static str,
+    egress: SocketAddr,
+    backend: SocketAddr,
+    certificate_file: PathBuf,
+    private_key_file: PathBuf,
+    control: Control,
+    log: Log,
+}
+
+/// Writes the settings of a deployment's processes.
+pub(crate) struct Files<'a> {
+    pub(crate) directory: &'a Path,
+    pub(crate) deployment: &'a Deployment,
+    pub(crate) network: Network,
+    pub(crate) credentials: &'a Credentials,
+    pub(crate) log_level: &'static str,
+}
+
+impl Files<'_> {
+    /// Settings of a balancer.
+    pub(crate) fn balancer(&self, index: usize) -> Result<PathBuf, Error> {
+        let name = Deployment::balancer_name(index);
+        let settings = Balancer {
+            name: name.clone(),
+            fabric: self.network.balancer_fabric(index),
+            fabric_sources: vec![self.network.ingress()],
+            control: self.control(
+                self.deployment.balancer_domain(index),
+                self.network.balancer_peer(index),
+                self.network.balancer_rpc(index),
+            ),
+            log: self.log(),
+        };
+        self.write(&name, &settings)
+    }
+
+    /// Settings of an agent.
+    pub(crate) fn agent(&self, placement: &Placement) -> Result<PathBuf, Error> {
+        let index = placement.index;
+        let settings = Agent {
+            name: placement.target.clone(),
+            group: placement.group.name,
+            egress: self.network.egress(),
+            backend: self.network.backend(index),
+            certificate_file: self.credentials.certificate_file.clone(),
+            private_key_file: self.credentials.private_key_file.clone(),
+            control: self.control(
+                placement.domain,
+                self.network.agent_peer(index),
+                self.network.agent_rpc(index),
+            ),
+            log: self.log(),
+        };
+        self.write(&format!("agent-{}", placement.target), &settings)
+    }
+
+    /// Settings of any process.
+    pub(crate) fn write(&self, name: &str, settings: &impl Serialize) -> Result<PathBuf, Error> {
+        let path = self.directory.join(format!("{name}.toml"));
+        let text = toml::to_string(settings)
+            .map_err(|cause| Error::setting(name, cause, "values that TOML can hold"))?;
+        write(&path, &text)?;
+        Ok(path)
+    }
+
+    fn control(&self, domain: &str, peer: SocketAddr, rpc: SocketAddr) -> Control {
+        let balancers = 0..self.deployment.balancers;
+        Control {
+            domain: domain.to_owned(),
+            region: REGION,
+            peer,
+            rpc,
+            store: self.network.store(),
+            key_file: self.credentials.key_file.clone(),
+            seeds: balancers
+                .map(|index| self.network.balancer_rpc(index))
+                .filter(|seed| *seed != rpc)
+                .collect(),
+        }
+    }
+
+    const fn log(&self) -> Log {
+        Log {
+            level: self.log_level,
+        }
+    }
+}
--- /dev/null
+++ b/crates/lavenderseam_bench/src/launcher/mod.rs
@@ -0,0 +1,20 @@
+//! Starts a whole deployment as separate processes on loopback and ends them.
+//!
+//! A [`Cluster`] owns its processes: they are started and ended by their handles, and none
+//! outlives it, also when the bench panics or is interrupted.
+
+mod cluster;
+mod credentials;
+mod deployment;
+mod files;
+mod network;
+mod process;
+mod programs;
+mod readiness;
+mod records;
+
+pub use cluster::{Cluster, Options};
+pub use deployment::{Deployment, Group, Placement};
+pub use network::Network;
+pub use process::{Process, Signal};
+pub use programs::Programs;
--- a/crates/lavenderseam_bench/src/lib.rs
+++ b/crates/lavenderseam_bench/src/lib.rs
@@ -1,1 +1,11 @@
-//! Placeholder.
+//! The bench: stand-ins for what surrounds the system, a launcher that starts a whole deployment
+//! as separate processes, load, fault schedules and reports.
+//!
+//! Counts are taken by the stand-ins and the callers, never by the system under test.
+
+mod error;
+pub mod launcher;
+pub mod remote;
+pub mod standins;
+
+pub use error::Error;
--- /dev/null
+++ b/crates/lavenderseam_bench/src/standins/backend/content.rs
@@ -0,0 +1,27 @@
+//! Deterministic contents of files.
+
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Multiplier of the generator's step.
+const STEP: u64 = 0x9e37_79b9_7f4a_7c15;
+
+/// Content of a file of a service; a file of another service or length has another content.
+#[must_use]
+pub fn file(service: &str, bytes: usize) -> Vec<u8> {
+    let mut state = xxh3_64(service.as_bytes()) ^ bytes as u64;
+    let mut content = Vec::with_capacity(bytes + 8);
+    while content.len() < bytes {
+        state = state
+            .wrapping_mul(6_364_136_223_846_793_005)
+            .wrapping_add(STEP);
+        content.extend_from_slice(&state.to_be_bytes());
+    }
+    content.truncate(bytes);
+    content
+}
+
+/// Hash of a content, as the header `x-content-hash` gives it.
+#[must_use]
+pub fn hash(content: &[u8]) -> String {
+    format!("{:016x}", xxh3_64(content))
+}
--- /dev/null
+++ b/crates/lavenderseam_bench/src/standins/backend/routes.rs
@@ -0,0 +1,156 @@
+//! The calls of a backend server.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::time::Duration;
+
+use axum::body::{Body, Bytes};
+use axum::extract::{Path, State};
+use axum::response::{IntoResponse, Response};
+use axum::routing::{get, post};
+use axum::{Json, Router};
+use futures::stream;
+use http::{HeaderValue, Request, StatusCode, header};
+use serde_json::json;
+
+use super::content;
+use super::fault::Lie;
+use super::serve::{Backend, Feed, Slot};
+
+/// Time between two events of a feed.
+const FEED_INTERVAL: Duration = Duration::from_millis(100);
+/// Largest file, in bytes.
+const FILE_LIMIT: usize = 64 << 20;
+/// Bytes of a file that are sent at a time.
+const CHUNK: usize = 64 << 10;
+
+pub(crate) fn router(backend: Arc<Backend>) -> Router {
+    Router::new()
+        .route("/edits", post(edit))
+        .route("/feed", get(feed))
+        .route("/files/{bytes}", get(file))
+        .route("/lookup/{n}", get(lookup))
+        .route("/health", get(health))
+        .route("/load", get(load))
+        .layer(axum::middleware::from_fn(echo_request_id))
+        .with_state(backend)
+}
+
+/// Repeats the request's id in the answer.
+async fn echo_request_id(request: Request<Body>, next: axum::middleware::Next) -> Response {
+    let id: Option<HeaderValue> = request.headers().get("x-request-id").cloned();
+    let mut response = next.run(request).await;
+    if let Some(id) = id {
+        response.headers_mut().insert("x-request-id", id);
+    }
+    response
+}
+
+async fn edit(State(backend): State<Arc<Backend>>, body: Bytes) -> Response {
+    let Some(slot) = backend.begin() else {
+        return StatusCode::SERVICE_UNAVAILABLE.into_response();
+    };
+    let id = String::from_utf8_lossy(&body).into_owned();
+    backend.log_run(&id);
+    backend.work().await;
+    let answer = json!({
+        "service": backend.settings.service,
+        "target": backend.settings.target,
+        "id": id,
+    });
+    finish(slot, Json(answer))
+}
+
+async fn lookup(State(backend): State<Arc<Backend>>, Path(n): Path<u64>) -> Response {
+    let Some(slot) = backend.begin() else {
+        return StatusCode::SERVICE_UNAVAILABLE.into_response();
+    };
+    backend.work().await;
+    let answer = json!({
+        "service": backend.settings.service,
+        "target": backend.settings.target,
+        "n": n,
+    });
+    finish(slot, Json(answer))
+}
+
+async fn file(State(backend): State<Arc<Backend>>, Path(bytes): Path<usize>) -> Response {
+    if bytes > FILE_LIMIT {
+        return StatusCode::NOT_FOUND.into_response();
+    }
+    let Some(slot) = backend.begin() else {
+        return StatusCode::SERVICE_UNAVAILABLE.into_response();
+    };
+    backend.work().await;
+    if !slot.survived() {
+        return StatusCode::SERVICE_UNAVAILABLE.into_response();
+    }
+    let content = Bytes::from(content::file(&backend.settings.service, bytes));
+    let headers = [
+        (header::CONTENT_LENGTH.as_str(), bytes.to_string()),
+        ("x-content-hash", content::hash(&content)),
+    ];
+    // The slot is held until the last chunk has been taken.
+    let chunks = stream::unfold((content, slot), |(mut content, slot)| async move {
+        if content.is_empty() {
+            return None;
+        }
+        let chunk = content.split_to(CHUNK.min(content.len()));
+        Some((Ok::<_, Infallible>(chunk), (content, slot)))
+    });
+    (headers, Body::from_stream(chunks)).into_response()
+}
+
+async fn feed(State(backend): State<Arc<Backend>>) -> Response {
+    let Some(feed) = backend.open_feed() else {
+        return StatusCode::SERVICE_UNAVAILABLE.into_response();
+    };
+    let events = stream::unfold((feed, 0_u64), |(feed, sequence)| async move {
+        if sequence > 0 {
+            tokio::time::sleep(FEED_INTERVAL).await;
+        }
+        let event = event(&feed, sequence);
+        Some((Ok::<_, Infallible>(event), (feed, sequence + 1)))
+    });
+    let headers = [(header::CONTENT_TYPE, "text/event-stream")];
+    (headers, Body::from_stream(events)).into_response()
+}
+
+fn event(feed: &Feed, sequence: u64) -> Bytes {
+    let settings = &feed.backend.settings;
+    let data = json!({
+        "service": settings.service,
+        "target": settings.target,
+        "sequence": sequence,
+    });
+    Bytes::from(format!("id: {sequence}\ndata: {data}\n\n"))
+}
+
+async fn health(State(backend): State<Arc<Backend>>) -> StatusCode {
+    match backend.lie() {
+        Lie::Healthy => StatusCode::OK,
+        Lie::Unhealthy => StatusCode::SERVICE_UNAVAILABLE,
+        _ if backend.sheds() => StatusCode::SERVICE_UNAVAILABLE,
+        _ => StatusCode::OK,
+    }
+}
+
+async fn load(State(backend): State<Arc<Backend>>) -> Response {
+    let slots = backend.settings.slots;
+    let in_use = match backend.lie() {
+        Lie::Idle => 0,
+        Lie::Full => slots,
+        _ => backend.in_use(),
+    };
+    Json(json!({ "slots_in_use": in_use, "slots": slots })).into_response()
+}
+
+fn finish(slot: Slot, answer: impl IntoResponse) -> Response {
+    let survived = slot.survived();
+    drop(slot);
+    if survived {
+        answer.into_response()
+    } else {
+        StatusCode::SERVICE_UNAVAILABLE.into_response()
+    }
+}
--- /dev/null
+++ b/crates/lavenderseam_bench/src/standins/settings.rs
@@ -0,0 +1,18 @@
+//! Reading the settings of a stand-in.
+
+use std::path::Path;
+
+use serde::de::DeserializeOwned;
+
+use crate::Error;
+
+/// Reads a TOML file of settings.
+///
+/// # Errors
+///
+/// Returns [`Error::File`] if it can't be read and [`Error::Setting`] if it can't be used.
+pub fn load<T: DeserializeOwned>(path: &Path) -> Result<T, Error> {
+    let text = std::fs::read_to_string(path).map_err(|cause| Error::file(path, cause))?;
+    toml::from_str(&text)
+        .map_err(|cause| Error::setting(path.display(), cause.message(), "a settings file"))
+}
