--- a/crates/lavenderseam_balancer/src/bin/lavenderseam-balancer.rs
+++ b/crates/lavenderseam_balancer/src/bin/lavenderseam-balancer.rs
@@ -6,10 +6,13 @@
 use argh::FromArgs;
 use lavenderseam_app::{App, Error};
 use lavenderseam_balancer::{BalancerPlugin, Settings};
-use lavenderseam_telemetry::{Log, log};
+use lavenderseam_control::{ControlPlugin, Role};
+use lavenderseam_telemetry::{Log, Metrics, log};
 
 const LOG: Log = Log::new("balancer");
 
+/// Precedes the name of every metric.
+const METRICS_PREFIX: &str = "lavenderseam.balancer";
 /// Exit code after a failure at run time.
 const FAILED: u8 = 1;
 /// Exit code for bad settings or arguments.
@@ -72,7 +75,17 @@
 #[tokio::main]
 async fn run(settings: Settings) -> Result<(), Error> {
     let mut app = App::new();
-    app.add(&lavenderseam_balancer::ControlStub::new(&settings))?
+    let role = Role::Balancer(settings.name.clone());
+    let control = ControlPlugin::new(settings.control.clone(), role);
+    app.add(&control.with_metrics(metrics(&settings)?))?
         .add(&BalancerPlugin::new(settings))?;
     app.run().await
 }
+
+fn metrics(settings: &Settings) -> Result<Metrics, Error> {
+    match settings.metrics.collector {
+        Some(collector) => Metrics::with_collector(METRICS_PREFIX, collector)
+            .map_err(|cause| Error::plugin("metrics", cause)),
+        None => Ok(Metrics::new(METRICS_PREFIX)),
+    }
+}
--- a/crates/lavenderseam_balancer/src/lib.rs
+++ b/crates/lavenderseam_balancer/src/lib.rs
@@ -13,9 +13,7 @@
 mod settings;
 mod shared;
 mod socket;
-mod stub;
 
 pub use counters::{Counters, Event};
 pub use plugin::BalancerPlugin;
 pub use settings::{Error, Settings, Source};
-pub use stub::ControlStub;
