Check routers and owners against naive ones

Random events, unequal views, lost hints. Embryonic flows now expire by a heap of deadlines with serials: with the queue, a flow that was closed and opened again kept the first one's deadline.

--- a/crates/lavenderseam_core/src/flow/key.rs
+++ b/crates/lavenderseam_core/src/flow/key.rs
@@ -1,6 +1,7 @@
 //! Identity of a flow.
 
 use std::fmt;
+use std::hash::{BuildHasherDefault, Hasher};
 use std::net::SocketAddr;
 
 use xxhash_rust::xxh3::{Xxh3, xxh3_128_with_seed};
@@ -45,3 +46,28 @@
         write!(formatter, "{:032x}", self.0)
     }
 }
+
+/// Hasher of tables of flows.
+pub(crate) type BuildKeyHasher = BuildHasherDefault<KeyHasher>;
+
+/// Passes a key's own bits on: a key is a hash already, under a seed that callers don't know.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct KeyHasher(u64);
+
+impl Hasher for KeyHasher {
+    fn finish(&self) -> u64 {
+        self.0
+    }
+
+    fn write(&mut self, bytes: &[u8]) {
+        for chunk in bytes.chunks(8) {
+            let mut word = [0; 8];
+            word[..chunk.len()].copy_from_slice(chunk);
+            self.0 ^= u64::from_ne_bytes(word);
+        }
+    }
+
+    fn write_u128(&mut self, word: u128) {
+        self.0 ^= (word >> 64) as u64 ^ word as u64;
+    }
+}
--- a/crates/lavenderseam_core/src/flow/owner/mod.rs
+++ b/crates/lavenderseam_core/src/flow/owner/mod.rs
@@ -32,8 +32,8 @@
 pub struct Settings {
     /// How long a flow stays embryonic.
     pub embryonic: Duration,
-    /// How long an established flow whose end the transport doesn't report may be silent.
-    pub idle: Duration,
+    /// How long an established flow may be silent; none if the transport reports each end.
+    pub idle: Option<Duration>,
     /// Flows held at once; openers beyond it aren't admitted.
     pub limit: usize,
 }
@@ -162,7 +162,7 @@
     /// Whether the flow is held here.
     #[must_use]
     pub fn owns(&self, flow: Key) -> bool {
-        self.table.get(flow).is_some()
+        self.table.contains(flow)
     }
 
     fn decide(
@@ -307,7 +307,7 @@
     fn default() -> Self {
         Self {
             embryonic: Duration::from_secs(5),
-            idle: Duration::from_secs(300),
+            idle: None,
             limit: 65_536,
         }
     }
--- a/crates/lavenderseam_core/src/flow/owner/table.rs
+++ b/crates/lavenderseam_core/src/flow/owner/table.rs
@@ -1,10 +1,12 @@
 //! The bounded table of the flows that an agent owns.
 
-use std::collections::{HashMap, VecDeque};
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap};
 use std::time::Duration;
 
 use super::Settings;
 use crate::flow::Key;
+use crate::flow::key::BuildKeyHasher;
 use crate::time::Instant;
 
 /// State of a flow.
@@ -12,7 +14,7 @@
 pub(super) enum State {
     /// The caller hasn't proved that it follows this owner.
     Embryonic,
-    /// The caller follows this owner; the transport reports the end.
+    /// The caller follows this owner.
     Established,
 }
 
@@ -21,22 +23,34 @@
 pub(super) struct Entry {
     state: State,
     touched: Instant,
+    /// Tells this entry from earlier ones of the same flow.
+    serial: u64,
 }
 
-/// The flows held, with a queue of the times at which some may have expired.
+/// The time after which a flow may have expired, unless it was touched since.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Deadline {
+    at: Instant,
+    flow: Key,
+    serial: u64,
+}
+
+/// The flows held, with their deadlines; a flow that has gone leaves its deadline behind.
 #[derive(Clone, Debug)]
 pub(super) struct Table {
     settings: Settings,
-    entries: HashMap<Key, Entry>,
-    embryonic: VecDeque<(Instant, Key)>,
+    entries: HashMap<Key, Entry, BuildKeyHasher>,
+    deadlines: BinaryHeap<Reverse<Deadline>>,
+    serial: u64,
 }
 
 impl Table {
     pub(super) fn new(settings: Settings) -> Self {
         Self {
             settings,
-            entries: HashMap::new(),
-            embryonic: VecDeque::new(),
+            entries: HashMap::default(),
+            deadlines: BinaryHeap::new(),
+            serial: 0,
         }
     }
 
@@ -45,12 +59,7 @@
         if self.entries.len() >= self.settings.limit {
             return false;
         }
-        let entry = Entry {
-            state: State::Embryonic,
-            touched: now,
-        };
-        self.entries.insert(flow, entry);
-        self.embryonic.push_back((now, flow));
+        self.insert(flow, State::Embryonic, now);
         true
     }
 
@@ -64,11 +73,11 @@
     }
 
     pub(super) fn establish(&mut self, flow: Key, now: Instant) {
-        let entry = Entry {
-            state: State::Established,
-            touched: now,
-        };
-        self.entries.insert(flow, entry);
+        if self.is_established(flow) {
+            self.touch(flow, now);
+        } else {
+            self.insert(flow, State::Established, now);
+        }
     }
 
     pub(super) fn remove(&mut self, flow: Key) {
@@ -76,35 +85,73 @@
     }
 
     pub(super) fn remove_embryonic(&mut self, flow: Key) -> bool {
-        let embryonic = self.get(flow).is_some_and(|e| e.state == State::Embryonic);
+        let embryonic = self.contains(flow) && !self.is_established(flow);
         if embryonic {
             self.entries.remove(&flow);
         }
         embryonic
     }
 
-    pub(super) fn get(&self, flow: Key) -> Option<&Entry> {
-        self.entries.get(&flow)
+    pub(super) fn contains(&self, flow: Key) -> bool {
+        self.entries.contains_key(&flow)
     }
 
     pub(super) fn is_established(&self, flow: Key) -> bool {
-        self.get(flow)
-            .is_some_and(|e| e.state == State::Established)
+        let entry = self.entries.get(&flow);
+        entry.is_some_and(|entry| entry.state == State::Established)
     }
 
     pub(super) fn len(&self) -> usize {
         self.entries.len()
     }
 
-    /// Removes embryonic flows that are older than their time.
+    /// Removes the flows that have been silent for as long as their state allows.
     pub(super) fn expire(&mut self, now: Instant) {
-        let span: Duration = self.settings.embryonic;
-        while let Some((opened, flow)) = self.embryonic.front().copied() {
-            if now.since(opened) < span {
+        while let Some(Reverse(deadline)) = self.deadlines.peek().copied() {
+            if deadline.at > now {
                 return;
             }
-            self.embryonic.pop_front();
-            self.remove_embryonic(flow);
+            self.deadlines.pop();
+            self.check(deadline, now);
+        }
+    }
+
+    /// Removes a flow at its deadline, or sets a later one if it was touched since.
+    fn check(&mut self, deadline: Deadline, now: Instant) {
+        let entry = self.entries.get(&deadline.flow);
+        let Some(entry) = entry.filter(|entry| entry.serial == deadline.serial) else {
+            return;
+        };
+        let Some(span) = self.span(entry.state) else {
+            return;
+        };
+        let at = entry.touched + span;
+        if at <= now {
+            self.entries.remove(&deadline.flow);
+        } else {
+            self.deadlines.push(Reverse(Deadline { at, ..deadline }));
+        }
+    }
+
+    fn insert(&mut self, flow: Key, state: State, now: Instant) {
+        self.serial += 1;
+        let serial = self.serial;
+        let entry = Entry {
+            state,
+            touched: now,
+            serial,
+        };
+        self.entries.insert(flow, entry);
+        if let Some(span) = self.span(state) {
+            let at = now + span;
+            self.deadlines.push(Reverse(Deadline { at, flow, serial }));
+        }
+    }
+
+    fn span(&self, state: State) -> Option<Duration> {
+        match state {
+            State::Embryonic => Some(self.settings.embryonic),
+            State::Established => self.settings.idle,
         }
     }
 }
--- /dev/null
+++ b/crates/lavenderseam_core/tests/flow_differential.rs
@@ -0,0 +1,343 @@
+//! The core's routers and owners against naive ones, over random events, unequal views and hints
+//! that get lost; and what must hold for every packet.
+
+#![expect(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
+
+mod flow_naive;
+mod world;
+
+use std::time::Duration;
+
+use flow_naive::{Balancer, EMBRYONIC, IDLE, Owners};
+use lavenderseam_core::flow::owner::{self, Action, Arrival};
+use lavenderseam_core::flow::{Key, Kind, Owner, Packet, Router, TRAIL_LIMIT, Token, router};
+use lavenderseam_core::id::Tag;
+use lavenderseam_core::time::Instant;
+use lavenderseam_core::view::View;
+use proptest::prelude::*;
+use world::{World, domain, group, key, service, tag};
+
+/// Targets of each of the two groups.
+const TARGETS: usize = 3;
+const AGENTS: usize = 2 * TARGETS;
+const BALANCERS: usize = 2;
+const FLOWS: u32 = 6;
+/// Service 2 moves between the groups.
+const SERVICES: usize = 3;
+
+#[derive(Clone, Debug)]
+enum Event {
+    Join(usize),
+    Leave(usize),
+    Out(usize, bool),
+    Drain(usize, bool),
+    Down(usize, bool),
+    Move(usize),
+    /// A process takes the next views.
+    Update(usize, usize),
+    Packet {
+        balancer: usize,
+        flow: u32,
+        kind: Kind,
+        token: Option<usize>,
+        /// Whether each agent admits a flow.
+        admits: [bool; AGENTS],
+        hinted: bool,
+    },
+    Established(usize, u32),
+    Closed(usize, u32),
+    Yielded(usize, u32),
+    Wait(u64),
+}
+
+fn events() -> impl Strategy<Value = Event> {
+    let agent = 0..AGENTS;
+    let packet = (
+        0..BALANCERS,
+        0..FLOWS,
+        prop_oneof![Just(Kind::Opener), Just(Kind::Continuing)],
+        prop::option::weighted(0.3, 0..AGENTS),
+        prop::array::uniform6(prop::bool::weighted(0.7)),
+        prop::bool::weighted(0.8),
+    )
+        .prop_map(
+            |(balancer, flow, kind, token, admits, hinted)| Event::Packet {
+                balancer,
+                flow,
+                kind,
+                token,
+                admits,
+                hinted,
+            },
+        );
+    prop_oneof![
+        1 => agent.clone().prop_map(Event::Join),
+        1 => agent.clone().prop_map(Event::Leave),
+        1 => (0..3usize, any::<bool>()).prop_map(|(of, out)| Event::Out(of, out)),
+        1 => (agent.clone(), any::<bool>()).prop_map(|(of, drains)| Event::Drain(of, drains)),
+        1 => (agent.clone(), any::<bool>()).prop_map(|(of, down)| Event::Down(of, down)),
+        1 => (0..2usize).prop_map(Event::Move),
+        6 => (0..AGENTS + BALANCERS, 1..4usize).prop_map(|(of, by)| Event::Update(of, by)),
+        16 => packet,
+        4 => (agent.clone(), 0..FLOWS).prop_map(|(of, flow)| Event::Established(of, flow)),
+        1 => (agent.clone(), 0..FLOWS).prop_map(|(of, flow)| Event::Closed(of, flow)),
+        1 => (agent, 0..FLOWS).prop_map(|(of, flow)| Event::Yielded(of, flow)),
+        3 => (0..7_000u64).prop_map(Event::Wait),
+    ]
+}
+
+/// The processes, each beside its naive version.
+struct Cluster {
+    world: World,
+    views: Vec<View>,
+    /// Index of each process's view; agents first.
+    present: Vec<usize>,
+    routers: Vec<Router>,
+    balancers: Vec<Balancer>,
+    agents: Vec<Owner>,
+    owners: Owners,
+    now: Instant,
+}
+
+impl Cluster {
+    fn new() -> Self {
+        let mut world = World::new(TARGETS);
+        world.set_service(2, 0);
+        let settings = owner::Settings {
+            embryonic: EMBRYONIC,
+            idle: Some(IDLE),
+            limit: 100,
+        };
+        let agent = |index: usize| {
+            let (group, domain) = (group(index / TARGETS), domain(index % 3));
+            Owner::with_settings(tag(index), group, domain, settings)
+        };
+        let router = |_| {
+            Router::new(router::Settings {
+                shards: 2,
+                capacity: 4_096,
+                silence: Duration::from_millis(300),
+            })
+        };
+        Self {
+            views: vec![world.view()],
+            world,
+            present: vec![0; AGENTS + BALANCERS],
+            routers: (0..BALANCERS).map(router).collect(),
+            balancers: (0..BALANCERS).map(|_| Balancer::default()).collect(),
+            agents: (0..AGENTS).map(agent).collect(),
+            owners: Owners::default(),
+            now: world::at(1),
+        }
+    }
+
+    fn view(&self, process: usize) -> View {
+        self.views[self.present[process]].clone()
+    }
+
+    fn apply(&mut self, event: &Event) -> Result<(), TestCaseError> {
+        match *event {
+            Event::Join(index) => self.world.join(index, index / TARGETS),
+            Event::Leave(index) => self.world.leave(index),
+            Event::Out(index, out) => self.world.set_out(index, out),
+            Event::Drain(index, draining) => self.world.set_draining(index, draining),
+            Event::Down(index, down) => self.world.set_down(index, down),
+            Event::Move(of) => self.world.set_service(2, of),
+            Event::Update(process, by) => {
+                let latest = self.views.len() - 1;
+                self.present[process] = (self.present[process] + by).min(latest);
+                return Ok(());
+            }
+            Event::Packet {
+                balancer,
+                flow,
+                kind,
+                token,
+                admits,
+                hinted,
+            } => {
+                let token = token.map(|owner| Token {
+                    owner: tag(owner),
+                    nonce: 1,
+                });
+                let packet = Packet {
+                    flow: key(flow),
+                    service: service(flow as usize % SERVICES),
+                    kind,
+                    token,
+                };
+                return self.packet(balancer, packet, admits, hinted);
+            }
+            Event::Established(agent, flow) => {
+                self.agents[agent].established(key(flow), self.now);
+                self.owners.established(tag(agent), key(flow), self.now);
+                return Ok(());
+            }
+            Event::Closed(agent, flow) => {
+                self.agents[agent].closed(key(flow));
+                self.owners.closed(tag(agent), key(flow));
+                return Ok(());
+            }
+            Event::Yielded(agent, flow) => {
+                self.agents[agent].yielded(key(flow));
+                self.owners.yielded(tag(agent), key(flow));
+                return Ok(());
+            }
+            Event::Wait(milliseconds) => {
+                self.now = self.now + Duration::from_millis(milliseconds);
+                return Ok(());
+            }
+        }
+        self.views.push(self.world.view());
+        Ok(())
+    }
+
+    fn packet(
+        &mut self,
+        balancer: usize,
+        packet: Packet,
+        admits: [bool; AGENTS],
+        hinted: bool,
+    ) -> Result<(), TestCaseError> {
+        let view = self.view(AGENTS + balancer);
+        let action = self.routers[balancer].packet(&packet, &view, self.now);
+        let naive = self.balancers[balancer].packet(&packet, &view);
+        let first = match (action, naive) {
+            (router::Action::Drop(reason), Err(naive)) => {
+                prop_assert_eq!(reason, naive);
+                return Ok(());
+            }
+            (router::Action::Forward { target, .. }, Ok(choices)) => {
+                prop_assert!(choices.contains(&target), "{target} is none of {choices:?}");
+                target
+            }
+            (action, naive) => {
+                return Err(TestCaseError::fail(format!("{action:?} is not {naive:?}")));
+            }
+        };
+        let group = &view.service(packet.service).unwrap().group;
+        prop_assert_eq!(&view.target(first).unwrap().group, group);
+        if packet.kind == Kind::Opener && packet.token.is_none() {
+            self.balancers[balancer].sent(packet.flow, first, self.now);
+        }
+        let (last, end, hint) = self.walk(packet, first, &view, admits)?;
+        self.check_end(packet, last, &end)?;
+        if let Some(hint) = hint.filter(|_| hinted) {
+            let told = self.routers[balancer].hint(&hint, &view, self.now);
+            let naive = self.balancers[balancer].hint(&hint);
+            let naive = naive.filter(|loser| view.target(*loser).is_some());
+            prop_assert_eq!(told.map(|told| told.loser), naive);
+        }
+        Ok(())
+    }
+
+    /// Follows a packet from agent to agent.
+    fn walk(
+        &mut self,
+        packet: Packet,
+        first: Tag,
+        view: &View,
+        admits: [bool; AGENTS],
+    ) -> Result<(usize, Action, Option<lavenderseam_core::flow::Hint>), TestCaseError> {
+        let mut at = first;
+        let mut trail = Vec::new();
+        let mut revision = view.revision();
+        loop {
+            prop_assert!(trail.len() < TRAIL_LIMIT);
+            prop_assert!(!trail.contains(&at), "{at} is visited twice");
+            let index = (0..AGENTS).find(|index| tag(*index) == at).unwrap();
+            let view = self.view(index);
+            let arrival = Arrival {
+                packet,
+                trail: &trail,
+                revision,
+            };
+            let admits = admits[index];
+            let decision = self.agents[index].arrival(&arrival, &view, self.now, admits);
+            let place = (at, &group(index / TARGETS), &domain(index % 3));
+            let naive = self
+                .owners
+                .arrival(place, &arrival, &view, self.now, admits);
+            prop_assert_eq!((decision.action.clone(), decision.hint), naive);
+            match decision.action {
+                Action::Pass {
+                    next,
+                    trail: visited,
+                    revision: newest,
+                    ..
+                } => {
+                    at = next;
+                    trail = visited;
+                    revision = newest;
+                }
+                end => return Ok((index, end, decision.hint)),
+            }
+        }
+    }
+
+    fn check_end(&self, packet: Packet, last: usize, end: &Action) -> Result<(), TestCaseError> {
+        if matches!(end, Action::Deliver { .. }) {
+            let view = self.view(last);
+            let service = view.service(packet.service).unwrap();
+            prop_assert_eq!(&service.group, &group(last / TARGETS), "crossed services");
+            prop_assert!(!view.is_out(&domain(last % 3)), "delivered in a domain out");
+        }
+        let newest = self.views.len() - 1;
+        if self.present.iter().all(|present| *present == newest) {
+            self.check_equal_views(packet, last, end)?;
+        }
+        Ok(())
+    }
+
+    /// With equal views, packets of an established flow reach an owner that may hold flows.
+    fn check_equal_views(
+        &self,
+        packet: Packet,
+        last: usize,
+        end: &Action,
+    ) -> Result<(), TestCaseError> {
+        let view = self.views.last().unwrap();
+        let service = view.service(packet.service).unwrap();
+        let alive = |owner: &Tag| {
+            let mut candidates = service.candidates.iter();
+            candidates.any(|c| c.tag == *owner && c.holds_flows())
+        };
+        let owners = match packet.token {
+            Some(token) => vec![token.owner],
+            None => self.owners.followed(packet.flow),
+        };
+        if packet.kind == Kind::Continuing && owners.iter().any(alive) {
+            prop_assert!(
+                matches!(end, Action::Deliver { .. }),
+                "a packet of an established flow ended at {last} by {end:?}"
+            );
+        }
+        Ok(())
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 600,
+        rng_seed: prop::test_runner::RngSeed::Fixed(1),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn routers_and_owners_equal_naive_ones(events in prop::collection::vec(events(), 1..120)) {
+        let mut cluster = Cluster::new();
+        for event in &events {
+            cluster.apply(event)?;
+        }
+    }
+}
+
+/// The key of a flow tells its service, so that no test flow belongs to two.
+#[googletest::gtest]
+fn flows_have_distinct_keys() {
+    let mut keys: Vec<Key> = (0..FLOWS).map(key).collect();
+    keys.sort_unstable();
+    keys.dedup();
+    googletest::expect_that!(keys.len(), googletest::prelude::eq(FLOWS as usize));
+}
