Test the router's balance, silent targets, cache and locks

A cached flow counts as used from its second packet on: before, a burst of new flows pushed flows in use out.

--- a/crates/lavenderseam_core/src/flow/router/cache.rs
+++ b/crates/lavenderseam_core/src/flow/router/cache.rs
@@ -97,13 +97,14 @@
     }
 
     /// Adds or replaces a flow; in a full set it replaces one that wasn't used of late.
+    ///
+    /// A flow counts as used from its second packet on, so a burst of new flows displaces its own
+    /// kind and not the flows in use.
     pub(super) fn insert(&mut self, flow: Key, line: Line) {
         let place = self.set(flow).place(flow);
-        *place = Place {
-            flow: Some(flow),
-            line,
-            used: true,
-        };
+        let used = place.flow == Some(flow);
+        let flow = Some(flow);
+        *place = Place { flow, line, used };
     }
 
     pub(super) fn len(&self) -> usize {
--- a/crates/lavenderseam_core/src/flow/router/mod.rs
+++ b/crates/lavenderseam_core/src/flow/router/mod.rs
@@ -291,6 +291,12 @@
         .filter(|candidate| candidate.holds_flows())
 }
 
+impl<L: Locking> Default for Router<L> {
+    fn default() -> Self {
+        Self::new(Settings::default())
+    }
+}
+
 impl Default for Settings {
     fn default() -> Self {
         Self {
--- a/crates/lavenderseam_core/tests/flow_naive/mod.rs
+++ b/crates/lavenderseam_core/tests/flow_naive/mod.rs
@@ -28,11 +28,7 @@
     held: Vec<Held>,
 }
 
-fn ranked<'a>(
-    service: &'a Service,
-    flow: Key,
-    wanted: impl Fn(&Candidate) -> bool,
-) -> Vec<&'a Candidate> {
+fn ranked(service: &Service, flow: Key, wanted: impl Fn(&Candidate) -> bool) -> Vec<&Candidate> {
     let mut found: Vec<&Candidate> = service.candidates.iter().filter(|c| wanted(c)).collect();
     found.sort_by_key(|c| rank::score(flow.word(), c.tag.0));
     found.reverse();
@@ -184,7 +180,7 @@
         }
         let order = if packet.kind == Kind::Opener {
             let own = view.target(target);
-            if admits && !own.is_some_and(|own| own.standing == Standing::Draining) {
+            if admits && own.is_none_or(|own| own.standing != Standing::Draining) {
                 self.held.push(Held {
                     target,
                     flow: packet.flow,
--- /dev/null
+++ b/crates/lavenderseam_core/tests/flow_router.rs
@@ -0,0 +1,213 @@
+//! The router's choice for new flows: balance, agreement between balancers, silent targets.
+
+#![expect(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
+
+mod world;
+
+use std::collections::{HashMap, VecDeque};
+
+use googletest::prelude::*;
+use lavenderseam_core::flow::router::Action;
+use lavenderseam_core::flow::{Hint, Key, Packet, Router, router};
+use lavenderseam_core::id::Tag;
+use lavenderseam_core::time::Instant;
+use lavenderseam_core::view::View;
+use rand::rngs::StdRng;
+use rand::{Rng, RngExt, SeedableRng};
+use world::{World, at, continuing, key, opener, service, tag};
+
+/// Highest allowed load of a target over the mean.
+const IMBALANCE_LIMIT: f64 = 1.15;
+
+fn route(router: &Router, packet: &Packet, view: &View, now: Instant) -> Tag {
+    match router.packet(packet, view, now) {
+        Action::Forward { target, .. } => target,
+        Action::Drop(reason) => panic!("dropped: {reason}"),
+    }
+}
+
+fn hint(flow: Key, owner: Tag, established: bool, flows: u32) -> Hint {
+    Hint {
+        flow,
+        owner,
+        established,
+        flows,
+    }
+}
+
+/// Opens flows over several balancers, each of which hears only the hints of its own openers; the
+/// oldest flows end. Returns the highest load over the mean, and the share of openers for which
+/// another balancer would have chosen alike.
+fn steady_load(targets: usize, open: usize, seed: u64) -> (f64, f64) {
+    const BALANCERS: usize = 4;
+    let view = World::new(targets).view();
+    let routers: Vec<Router> = (0..BALANCERS).map(|_| Router::default()).collect();
+    let mut random = StdRng::seed_from_u64(seed);
+    let mut loads: HashMap<Tag, u32> = HashMap::new();
+    let mut flows = VecDeque::new();
+    let (mut worst, mut alike) = (0.0_f64, 0);
+    let rounds = 6 * open;
+    for round in 0..rounds {
+        let flow = Key(u128::from(random.next_u64()) << 64 | u128::from(random.next_u64()));
+        let now = at(round as u64);
+        let packet = opener(flow, service(0));
+        let chosen = random.random_range(0..BALANCERS);
+        let other = (chosen + random.random_range(1..BALANCERS)) % BALANCERS;
+        let target = route(&routers[chosen], &packet, &view, now);
+        alike += usize::from(route(&routers[other], &packet, &view, now) == target);
+        let load = loads.entry(target).or_default();
+        *load += 1;
+        routers[chosen].hint(&hint(flow, target, false, *load), &view, now);
+        flows.push_back(target);
+        if flows.len() > open {
+            // Flows live for unequal times: one of the older half ends.
+            let index = random.random_range(0..flows.len() / 2);
+            let ended = flows.swap_remove_back(index).unwrap();
+            *loads.get_mut(&ended).unwrap() -= 1;
+        }
+        if round > 2 * open && round % 50 == 0 {
+            let highest = f64::from(*loads.values().max().unwrap());
+            worst = worst.max(highest * targets as f64 / flows.len() as f64);
+        }
+    }
+    (worst, alike as f64 / rounds as f64)
+}
+
+#[gtest]
+fn steady_load_is_balanced() {
+    for (targets, open) in [(7, 7 * 200), (3, 3 * 200), (7, 7 * 2_000), (3, 3 * 2_000)] {
+        let (worst, alike) = steady_load(targets, open, 1);
+        println!("{targets} targets, {open} flows: max/mean {worst:.3}, alike {alike:.3}");
+        expect_that!(
+            worst,
+            lt(IMBALANCE_LIMIT),
+            "{targets} targets, {open} flows"
+        );
+        expect_that!(alike, gt(0.9), "{targets} targets, {open} flows");
+    }
+}
+
+#[gtest]
+fn a_repeated_opener_keeps_its_target() {
+    let view = World::new(7).view();
+    let router = Router::<router::System>::default();
+    for index in 0..100 {
+        let packet = opener(key(index), service(0));
+        let first = route(&router, &packet, &view, at(0));
+        router.load(first, 1_000_000, at(1));
+        expect_that!(route(&router, &packet, &view, at(100)), eq(first));
+    }
+}
+
+#[gtest]
+fn an_opener_repeated_after_silence_tries_another_target() {
+    let view = World::new(3).view();
+    let router = Router::<router::System>::default();
+    let packet = opener(key(1), service(0));
+    let first = route(&router, &packet, &view, at(0));
+    expect_that!(route(&router, &packet, &view, at(1_000)), not(eq(first)));
+}
+
+/// Opens `count` flows, one a millisecond, and lets all targets but `silent` answer.
+fn open_flows(router: &Router, view: &View, silent: Tag, start: u32, count: u32) -> u32 {
+    let mut sent = 0;
+    for index in start..start + count {
+        let now = at(u64::from(index));
+        let packet = opener(key(index), service(0));
+        let target = route(router, &packet, view, now);
+        if target == silent {
+            sent += 1;
+        } else {
+            router.hint(&hint(key(index), target, false, 10), view, now);
+        }
+    }
+    sent
+}
+
+#[gtest]
+fn a_silent_target_gets_few_new_flows_and_keeps_its_own() {
+    let view = World::new(7).view();
+    let router = Router::<router::System>::default();
+    let silent = tag(2);
+    let own = key(1_000_000);
+    router.hint(&hint(own, silent, true, 10), &view, at(0));
+    let before = open_flows(&router, &view, silent, 1, 400);
+    let after = open_flows(&router, &view, silent, 401, 10_000);
+    expect_that!(before, gt(20));
+    expect_that!(after, le(5), "one trial every two seconds");
+    let packet = continuing(own, service(0));
+    expect_that!(route(&router, &packet, &view, at(10_500)), eq(silent));
+}
+
+#[gtest]
+fn a_target_that_answers_again_gets_its_share() {
+    let view = World::new(7).view();
+    let router = Router::<router::System>::default();
+    let silent = tag(2);
+    open_flows(&router, &view, silent, 1, 1_000);
+    router.load(silent, 10, at(1_001));
+    let share = open_flows(&router, &view, silent, 1_002, 200);
+    expect_that!(share, gt(10));
+}
+
+#[gtest]
+fn a_target_that_passes_openers_on_is_not_suspect() {
+    let view = World::new(3).view();
+    let router = Router::<router::System>::default();
+    for index in 0..2_000 {
+        let packet = opener(key(index), service(0));
+        let target = route(&router, &packet, &view, at(u64::from(index)));
+        let owner = if target == tag(0) { tag(1) } else { target };
+        router.hint(
+            &hint(key(index), owner, false, 10),
+            &view,
+            at(u64::from(index)),
+        );
+    }
+    let sent = (2_000..2_300)
+        .map(|index| opener(key(index), service(0)))
+        .filter(|packet| route(&router, packet, &view, at(2_000)) == tag(0))
+        .count();
+    expect_that!(sent, gt(50));
+}
+
+#[gtest]
+fn of_two_embryonic_owners_the_lower_ranked_yields_and_an_established_one_stays() {
+    let view = World::new(3).view();
+    for (first, second) in [(0, 1), (1, 0)] {
+        let router = Router::<router::System>::default();
+        let flow = key(5);
+        router.hint(&hint(flow, tag(first), false, 1), &view, at(0));
+        let told = router.hint(&hint(flow, tag(second), false, 1), &view, at(0));
+        let winner = route(&router, &continuing(flow, service(0)), &view, at(0));
+        let score = |tag: Tag| lavenderseam_core::rank::score(flow.word(), tag.0);
+        let highest = [tag(0), tag(1)].into_iter().max_by_key(|tag| score(*tag));
+        expect_that!(winner, eq(highest.unwrap()));
+        expect_that!(told.unwrap().loser, not(eq(winner)));
+        let loser = told.unwrap().loser;
+        let told = router.hint(&hint(flow, loser, true, 1), &view, at(0));
+        expect_that!(told.unwrap().loser, eq(winner));
+    }
+}
+
+#[gtest]
+fn the_cache_is_bounded_and_keeps_flows_in_use() {
+    let view = World::new(3).view();
+    let router = Router::<router::System>::new(router::Settings {
+        shards: 2,
+        capacity: 1_024,
+        ..router::Settings::default()
+    });
+    // The walk would start at another target than the one that the cache names.
+    let flow = (0..100)
+        .map(key)
+        .find(|flow| route(&router, &continuing(*flow, service(0)), &view, at(0)) != tag(0))
+        .unwrap();
+    router.hint(&hint(flow, tag(0), true, 1), &view, at(0));
+    for index in 1_000..100_000 {
+        router.hint(&hint(key(index), tag(1), true, 1), &view, at(1));
+        let used = route(&router, &continuing(flow, service(0)), &view, at(1));
+        assert_that!(used, eq(tag(0)));
+    }
+    expect_that!(router.cached(), le(1_024));
+}
--- /dev/null
+++ b/crates/lavenderseam_core/tests/router_locks.rs
@@ -0,0 +1,100 @@
+//! Every interleaving (within a bound) of threads that share a router.
+
+#![expect(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
+
+mod world;
+
+use googletest::prelude::*;
+use lavenderseam_core::flow::router::{Action, Guard, Locking, Settings};
+use lavenderseam_core::flow::{Hint, Router};
+use lavenderseam_core::id::Tag;
+use shuttle::sync::{Arc, Mutex};
+use shuttle::thread;
+use world::{World, at, continuing, key, opener, service, tag};
+
+/// Interleavings tried.
+const ITERATIONS: usize = 2_000;
+
+struct Explored;
+
+struct Lock<T>(Mutex<T>);
+
+impl Locking for Explored {
+    type Guard<T> = Lock<T>;
+}
+
+impl<T> Guard<T> for Lock<T> {
+    fn new(value: T) -> Self {
+        Self(Mutex::new(value))
+    }
+
+    fn with<R>(&self, change: impl FnOnce(&mut T) -> R) -> R {
+        change(&mut self.0.lock().unwrap())
+    }
+}
+
+fn router() -> Router<Explored> {
+    Router::new(Settings {
+        shards: 2,
+        capacity: 32,
+        ..Settings::default()
+    })
+}
+
+fn target(action: Action) -> Tag {
+    match action {
+        Action::Forward { target, .. } => target,
+        Action::Drop(reason) => panic!("dropped: {reason}"),
+    }
+}
+
+#[gtest]
+fn openers_of_one_flow_are_sent_to_one_target() {
+    let view = Arc::new(World::new(3).view());
+    let run = move || {
+        let router = Arc::new(router());
+        let senders: Vec<_> = (0..3)
+            .map(|index: u32| {
+                let (router, view) = (Arc::clone(&router), Arc::clone(&view));
+                thread::spawn(move || {
+                    router.load(tag(index as usize), 1_000 * index, at(1));
+                    target(router.packet(&opener(key(9), service(0)), &view, at(2)))
+                })
+            })
+            .collect();
+        let targets: Vec<Tag> = senders.into_iter().map(|s| s.join().unwrap()).collect();
+        assert!(targets.iter().all(|target| *target == targets[0]));
+    };
+    shuttle::check_random(run, ITERATIONS);
+}
+
+#[gtest]
+fn hints_and_packets_settle_on_the_established_owner() {
+    let view = Arc::new(World::new(3).view());
+    let run = move || {
+        let router = Arc::new(router());
+        let tellers: Vec<_> = [(0, false), (1, true), (2, false)]
+            .into_iter()
+            .map(|(index, established)| {
+                let (router, view) = (Arc::clone(&router), Arc::clone(&view));
+                thread::spawn(move || {
+                    let hint = Hint {
+                        flow: key(9),
+                        owner: tag(index),
+                        established,
+                        flows: 1,
+                    };
+                    router.hint(&hint, &view, at(1));
+                    router.retain(&view);
+                    router.packet(&continuing(key(9), service(0)), &view, at(2));
+                })
+            })
+            .collect();
+        tellers
+            .into_iter()
+            .for_each(|teller| teller.join().unwrap());
+        let last = router.packet(&continuing(key(9), service(0)), &view, at(3));
+        assert_eq!(target(last), tag(1));
+    };
+    shuttle::check_random(run, ITERATIONS);
+}
