--- a/crates/lavenderseam_telemetry/src/trace.rs
+++ b/crates/lavenderseam_telemetry/src/trace.rs
@@ -99,7 +99,8 @@
 
     fn from_str(text: &str) -> Result<Self, Malformed> {
         let text = text.as_bytes();
-        if text.len() != 32 {
+        // The number parser would take a sign for a digit.
+        if text.len() != 32 || !text.iter().all(u8::is_ascii_hexdigit) {
             return Err(Malformed);
         }
         let mut id = [0; 16];
--- a/crates/lavenderseam_wire/src/key.rs
+++ b/crates/lavenderseam_wire/src/key.rs
@@ -91,7 +91,8 @@
 
     fn from_str(text: &str) -> Result<Self, Malformed> {
         let text = text.trim().as_bytes();
-        if text.len() != 2 * LENGTH {
+        // The number parser would take a sign for a digit.
+        if text.len() != 2 * LENGTH || !text.iter().all(u8::is_ascii_hexdigit) {
             return Err(Malformed);
         }
         let mut bytes = [0; LENGTH];
