--- /dev/null
+++ b/crates/lavenderseam_balancer/tests/data_path.rs
@@ -0,0 +1,322 @@
+//! The receive threads over loopback sockets, with the control plane's resources set by hand.
+
+#![expect(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
+
+use std::net::{SocketAddr, UdpSocket};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU16, Ordering};
+use std::time::Duration;
+
+use googletest::prelude::*;
+use lavenderseam_app::App;
+use lavenderseam_balancer::{BalancerPlugin, Counters, Event, Settings};
+use lavenderseam_control::{Gate, Identity, Role, Views};
+use lavenderseam_core::catalog::{Catalog, Entry, Revision};
+use lavenderseam_core::flow::{Key as FlowKey, Reason, Token};
+use lavenderseam_core::id::{Balancer, Domain, Group, Incarnation, Region, Tag, Target};
+use lavenderseam_core::record::{self, Document, DomainState, Phase, Record, Schema, Slots};
+use lavenderseam_core::view::View;
+use lavenderseam_telemetry::Metrics;
+use lavenderseam_wire::{Body, Frame, Hint, Key, Kind, connection, fabric};
+
+/// No answer within this time counts as a lost datagram; each is sent again until then.
+const PATIENCE: Duration = Duration::from_secs(10);
+
+struct Fixture {
+    _app: App,
+    key: Key,
+    fabric: UdpSocket,
+    agents: Vec<UdpSocket>,
+    views: Arc<Views>,
+    gate: Arc<Gate>,
+    counters: Arc<Counters>,
+    balancer: SocketAddr,
+    peer: SocketAddr,
+    catalog: Catalog,
+}
+
+fn socket() -> UdpSocket {
+    let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
+    socket.set_read_timeout(Some(PATIENCE)).unwrap();
+    socket
+}
+
+/// An address that no other test uses: the process number selects the host.
+fn free() -> SocketAddr {
+    static PORT: AtomicU16 = AtomicU16::new(20_000);
+    let [_, _, high, low] = std::process::id().to_be_bytes();
+    let port = PORT.fetch_add(1, Ordering::Relaxed);
+    SocketAddr::from(([127, 128 | high, low, 1], port))
+}
+
+fn service() -> SocketAddr {
+    "192.0.2.1:443".parse().unwrap()
+}
+
+fn target(index: usize) -> Target {
+    Target::new(&format!("target-{index}")).unwrap()
+}
+
+fn put<R: Record>(catalog: &mut Catalog, name: &str, record: &R) {
+    let mut document = Document::new(R::KIND, name, Schema(1));
+    record.write(&mut document);
+    let revision = Revision(catalog.head().0 + 1);
+    catalog.apply(Entry::with_document(revision, document));
+}
+
+fn catalog(agents: &[UdpSocket]) -> Catalog {
+    let mut catalog = Catalog::default();
+    let group = Group::new("group").unwrap();
+    let bears = record::Group {
+        slots: Slots(4),
+        connections: 2_000,
+        cold_slots: Slots(1),
+        drain: Duration::from_secs(30),
+    };
+    put(&mut catalog, "group", &bears);
+    let addresses = vec![service()];
+    let group_of = group.clone();
+    put(
+        &mut catalog,
+        "service",
+        &record::Service {
+            addresses,
+            group: group_of,
+        },
+    );
+    for (index, agent) in agents.iter().enumerate() {
+        let peer = agent.local_addr().unwrap();
+        let announced = record::Target {
+            group: group.clone(),
+            domain: Domain::new("suva-b").unwrap(),
+            region: Region::new("fiji").unwrap(),
+            peer,
+            rpc: peer,
+            incarnation: Incarnation(1),
+            phase: Phase::Serving,
+        };
+        put(&mut catalog, target(index).as_str(), &announced);
+    }
+    catalog
+}
+
+fn settings(fabric: SocketAddr, peer: SocketAddr, source: SocketAddr) -> Settings {
+    let text = format!(
+        r#"
+        name = "balancer-1"
+        fabric = "{fabric}"
+        fabric_sources = ["{source}"]
+        [control]
+        domain = "suva-a"
+        region = "fiji"
+        peer = "{peer}"
+        rpc = "127.0.0.1:1"
+        store = "127.0.0.1:1"
+        key_file = "key"
+        "#
+    );
+    text.parse().unwrap()
+}
+
+impl Fixture {
+    fn new() -> Self {
+        let key = Key::new([9; 32]);
+        let (balancer, peer) = (free(), free());
+        let fabric = socket();
+        let agents: Vec<UdpSocket> = (0..3).map(|_| socket()).collect();
+        let catalog = catalog(&agents);
+        let mut app = App::new();
+        app.insert(Identity {
+            role: Role::Balancer(Balancer::new("balancer-1").unwrap()),
+            domain: Domain::new("suva-a").unwrap(),
+            region: Region::new("fiji").unwrap(),
+            peer,
+            rpc: free(),
+            incarnation: Incarnation(1),
+            key: key.clone(),
+        });
+        app.insert(Metrics::new("test"));
+        let views = app.insert(Views::new());
+        views.publish(View::new(&catalog));
+        let gate = app.insert(Gate::new());
+        gate.set(true);
+        let settings = settings(balancer, peer, fabric.local_addr().unwrap());
+        app.add(&BalancerPlugin::new(settings)).unwrap();
+        let counters = app.resource::<Counters>().unwrap();
+        Self {
+            _app: app,
+            key,
+            fabric,
+            agents,
+            views,
+            gate,
+            counters,
+            balancer,
+            peer,
+            catalog,
+        }
+    }
+
+    /// Sends a caller's datagram through the fabric.
+    fn send(&self, payload: &[u8]) {
+        let ends = fabric::Ends {
+            caller: "10.0.0.1:5000".parse().unwrap(),
+            service: service(),
+        };
+        let mut datagram = Vec::new();
+        fabric::Packet::new(ends, payload)
+            .encode(&mut datagram)
+            .unwrap();
+        self.gate.set(self.gate.is_open());
+        self.fabric.send_to(&datagram, self.balancer).unwrap();
+    }
+
+    fn ping(&self) -> Vec<u8> {
+        self.fabric.send_to(b"PING", self.balancer).unwrap();
+        let mut answer = [0; 16];
+        let (length, _) = self.fabric.recv_from(&mut answer).unwrap();
+        answer[..length].to_vec()
+    }
+
+    /// Waits until a count has grown.
+    fn wait(&self, count: impl Fn(&Counters) -> u64) {
+        while count(&self.counters) == 0 {
+            std::thread::yield_now();
+        }
+    }
+
+    /// The agent that gets the next frame, and the frame's header.
+    fn forwarded(&self) -> (usize, lavenderseam_wire::Forward) {
+        let mut buffer = vec![0; 2_048];
+        loop {
+            for (index, agent) in self.agents.iter().enumerate() {
+                agent
+                    .set_read_timeout(Some(Duration::from_millis(5)))
+                    .unwrap();
+                if let Ok((length, _)) = agent.recv_from(&mut buffer) {
+                    let frame = Frame::open(&self.key.derive("frames"), &buffer[..length]);
+                    let Body::Forward(forward) = frame.unwrap().body else {
+                        panic!("not a packet");
+                    };
+                    return (index, forward);
+                }
+            }
+        }
+    }
+}
+
+/// The first datagram of a caller.
+fn initial(id: [u8; 16]) -> Vec<u8> {
+    [&[0xc0, 0, 0, 0, 1, 16], &id[..], &[0; 32]].concat()
+}
+
+/// A later datagram, to an id of the target's.
+fn short(key: &Key, owner: &Target) -> Vec<u8> {
+    let token = Token {
+        owner: Tag::new(owner),
+        nonce: 5,
+    };
+    let id = connection::encode(&key.derive("connection ids"), token);
+    [&[0x40], &id[..], &[0; 8]].concat()
+}
+
+#[gtest]
+fn an_opener_and_its_repetition_reach_one_agent() {
+    let fixture = Fixture::new();
+    fixture.send(&initial([3; 16]));
+    let (first, forward) = fixture.forwarded();
+    expect_that!(forward.kind, eq(Kind::Opener));
+    expect_that!(forward.service, eq(service()));
+    expect_that!(forward.balancer, eq(fixture.peer));
+    expect_that!(forward.revision, eq(fixture.catalog.head()));
+    fixture.send(&initial([3; 16]));
+    expect_that!(fixture.forwarded().0, eq(first));
+}
+
+#[gtest]
+fn a_packet_with_a_token_reaches_its_owner_only() {
+    let fixture = Fixture::new();
+    for index in [2, 0, 1] {
+        fixture.send(&short(&fixture.key, &target(index)));
+        expect_that!(fixture.forwarded().0, eq(index));
+    }
+    let forged = short(&Key::new([1; 32]), &target(0));
+    fixture.send(&forged);
+    fixture.wait(|counters| counters.events(Event::UnknownConnection));
+}
+
+#[gtest]
+fn a_hint_moves_a_flow_and_the_loser_is_told() {
+    let fixture = Fixture::new();
+    let seed = fixture.key.seed();
+    let caller = "10.0.0.1:5000".parse().unwrap();
+    let flow = FlowKey::new(seed, caller, service()).with_connection(&[3; 16]);
+    let agent = &fixture.agents[0];
+    let mut buffer = Vec::new();
+    for (index, established) in [(1, false), (2, true)] {
+        let hint = Hint {
+            flow,
+            owner: Tag::new(&target(index)),
+            established,
+            flows: 1,
+        };
+        let frame = Frame::new(Body::Hint(hint));
+        frame
+            .seal(&fixture.key.derive("frames"), &mut buffer)
+            .unwrap();
+        agent.send_to(&buffer, fixture.peer).unwrap();
+        fixture.wait(|counters| counters.events(Event::Hint));
+    }
+    fixture.wait(|counters| counters.events(Event::Yield));
+    let mut answer = [0; 512];
+    let (length, _) = fixture.agents[1].recv_from(&mut answer).unwrap();
+    let frame = Frame::open(&fixture.key.derive("frames"), &answer[..length]).unwrap();
+    expect_that!(frame.body, eq(&Body::Yield(flow)));
+    fixture.send(&initial([3; 16]));
+    expect_that!(fixture.forwarded().0, eq(2));
+}
+
+#[gtest]
+fn strangers_and_unreadable_datagrams_are_counted_and_dropped() {
+    let fixture = Fixture::new();
+    let stranger = socket();
+    stranger.send_to(b"PING", fixture.balancer).unwrap();
+    fixture.wait(|counters| counters.events(Event::Stranger));
+    fixture.send(&[0x40, 1, 2]);
+    fixture.wait(|counters| counters.events(Event::Unreadable));
+}
+
+#[gtest]
+fn health_checks_tell_whether_the_balancer_serves() {
+    let mut fixture = Fixture::new();
+    expect_that!(fixture.ping(), eq(b"PONG\x01"));
+    let out = record::Domain {
+        state: DomainState::Out,
+        reason: None,
+    };
+    put(&mut fixture.catalog, "suva-a", &out);
+    fixture.views.publish(View::new(&fixture.catalog));
+    expect_that!(fixture.ping(), eq(b"PONG\x00"));
+    fixture.gate.set(false);
+    expect_that!(fixture.ping(), eq(b"PONG\x00"));
+    fixture.send(&initial([3; 16]));
+    fixture.wait(|counters| counters.events(Event::GateClosed));
+}
+
+#[gtest]
+fn a_domain_out_receives_nothing() {
+    let mut fixture = Fixture::new();
+    let out = record::Domain {
+        state: DomainState::Out,
+        reason: None,
+    };
+    put(&mut fixture.catalog, "suva-b", &out);
+    fixture.views.publish(View::new(&fixture.catalog));
+    fixture.send(&initial([3; 16]));
+    fixture.wait(|counters| counters.drops(Reason::NoTarget));
+    fixture.send(&short(&fixture.key, &target(1)));
+    while fixture.counters.drops(Reason::NoTarget) < 2 {
+        std::thread::yield_now();
+    }
+    expect_that!(fixture.counters.events(Event::Forwarded), eq(0));
+}
