--- a/crates/lavenderseam_core/src/liveness/assignment.rs
+++ b/crates/lavenderseam_core/src/liveness/assignment.rs
@@ -3,10 +3,10 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
-use crate::catalog::Catalog;
+use crate::catalog::Entry;
 use crate::id::{self, Incarnation, Tag};
 use crate::rank::Cells;
-use crate::record::{self, Id, Kind};
+use crate::record::{self, Kind, Record};
 use crate::relay::MemberId;
 
 /// Balancers that probe a target.
@@ -17,62 +17,124 @@
 pub struct Probed {
     /// Name.
     pub target: id::Target,
+    /// Region that it lives in.
+    pub region: id::Region,
     /// Address for probes.
     pub peer: SocketAddr,
     /// The run that its record names.
     pub incarnation: Incarnation,
 }
 
-/// A balancer that may probe.
-struct Balancer {
-    id: MemberId,
-    region: id::Region,
+/// The targets that a balancer probes.
+///
+/// A target is probed from its own region if that has enough balancers, so that regions that lose
+/// each other don't condemn each other's targets.
+#[derive(Clone, Debug)]
+pub struct Assignment {
+    own: MemberId,
+    balancers: BTreeMap<MemberId, id::Region>,
+    targets: BTreeMap<Tag, Probed>,
+    all: Cells,
+    regions: BTreeMap<id::Region, Cells>,
+    assigned: BTreeMap<Tag, Probed>,
+    balancers_changed: bool,
 }
 
-/// The targets that a balancer probes. A target is probed from its own region if that has enough
-/// balancers, so that regions that lose each other don't condemn each other's targets.
-#[must_use]
-pub fn assign(own: MemberId, catalog: &Catalog) -> BTreeMap<Tag, Probed> {
-    let balancers: Vec<Balancer> = catalog
-        .records::<record::Balancer>()
-        .map(|(name, balancer)| Balancer {
-            id: MemberId::new(&Id::new(Kind::Balancer, name)),
-            region: balancer.region,
-        })
-        .collect();
-    let all = Cells::new(balancers.iter().map(|balancer| balancer.id.0));
-    let regions = regions(&balancers);
-    catalog
-        .records::<record::Target>()
-        .filter_map(|(name, target)| {
-            let name = id::Target::new(name).ok()?;
-            let tag = Tag::new(&name);
-            let probers = regions
-                .get(&target.region)
-                .unwrap_or(&all)
-                .top(tag.0, PROBERS);
-            let probed = Probed {
-                target: name,
-                peer: target.peer,
-                incarnation: target.incarnation,
-            };
-            probers.contains(&own.0).then_some((tag, probed))
-        })
-        .collect()
-}
+impl Assignment {
+    /// The assignment of a balancer that knows no targets yet.
+    #[must_use]
+    pub fn new(own: MemberId) -> Self {
+        Self {
+            own,
+            balancers: BTreeMap::new(),
+            targets: BTreeMap::new(),
+            all: Cells::default(),
+            regions: BTreeMap::new(),
+            assigned: BTreeMap::new(),
+            balancers_changed: false,
+        }
+    }
+
+    /// Takes an entry that the catalog has taken; returns whether it may change the assignment.
+    pub fn apply(&mut self, entry: &Entry) -> bool {
+        match entry.id.kind {
+            Kind::Balancer => self.apply_balancer(entry),
+            Kind::Target => self.apply_target(entry),
+            _ => return false,
+        }
+        true
+    }
+
+    /// The targets to probe.
+    pub fn assigned(&mut self) -> &BTreeMap<Tag, Probed> {
+        if self.balancers_changed {
+            self.balancers_changed = false;
+            self.group();
+            self.assign();
+        }
+        &self.assigned
+    }
+
+    fn apply_balancer(&mut self, entry: &Entry) {
+        let id = MemberId::new(&entry.id);
+        let document = entry.document.as_ref();
+        let read = document.and_then(|document| record::Balancer::read(document).ok());
+        let before = match &read {
+            Some(balancer) => self.balancers.insert(id, balancer.region.clone()),
+            None => self.balancers.remove(&id),
+        };
+        self.balancers_changed |= before != read.map(|balancer| balancer.region);
+    }
+
+    fn apply_target(&mut self, entry: &Entry) {
+        let Ok(name) = id::Target::new(&entry.id.name) else {
+            return;
+        };
+        let tag = Tag::new(&name);
+        let document = entry.document.as_ref();
+        let Some(target) = document.and_then(|document| record::Target::read(document).ok()) else {
+            self.targets.remove(&tag);
+            self.assigned.remove(&tag);
+            return;
+        };
+        let probed = Probed {
+            target: name,
+            region: target.region,
+            peer: target.peer,
+            incarnation: target.incarnation,
+        };
+        if self.is_own(tag, &probed) {
+            self.assigned.insert(tag, probed.clone());
+        } else {
+            self.assigned.remove(&tag);
+        }
+        self.targets.insert(tag, probed);
+    }
+
+    fn is_own(&self, tag: Tag, probed: &Probed) -> bool {
+        let cells = self.regions.get(&probed.region).unwrap_or(&self.all);
+        cells.top(tag.0, PROBERS).contains(&self.own.0)
+    }
+
+    /// Groups the balancers by the regions that have enough of them.
+    fn group(&mut self) {
+        let mut regions: BTreeMap<&id::Region, Vec<u64>> = BTreeMap::new();
+        for (id, region) in &self.balancers {
+            regions.entry(region).or_default().push(id.0);
+        }
+        regions.retain(|_, members| members.len() >= PROBERS);
+        let grouped = regions
+            .into_iter()
+            .map(|(region, members)| (region.clone(), Cells::new(members)));
+        self.regions = grouped.collect();
+        self.all = Cells::new(self.balancers.keys().map(|id| id.0));
+    }
 
-/// The balancers of each region that has enough of them.
-fn regions(balancers: &[Balancer]) -> BTreeMap<id::Region, Cells> {
-    let mut regions: BTreeMap<id::Region, Vec<u64>> = BTreeMap::new();
-    for balancer in balancers {
-        regions
-            .entry(balancer.region.clone())
-            .or_default()
-            .push(balancer.id.0);
+    fn assign(&mut self) {
+        let own = self
+            .targets
+            .iter()
+            .filter(|(tag, probed)| self.is_own(**tag, probed));
+        self.assigned = own.map(|(tag, probed)| (*tag, probed.clone())).collect();
     }
-    regions.retain(|_, members| members.len() >= PROBERS);
-    let grouped = regions
-        .into_iter()
-        .map(|(region, members)| (region, Cells::new(members)));
-    grouped.collect()
 }
--- a/crates/lavenderseam_core/src/liveness/health.rs
+++ b/crates/lavenderseam_core/src/liveness/health.rs
@@ -4,6 +4,7 @@
 
 use super::Probed;
 use crate::id::Incarnation;
+use crate::record::Down;
 use crate::time::Instant;
 
 /// Unanswered probes in a row after which a target is down.
@@ -18,6 +19,8 @@
 pub(crate) struct Health {
     pub(crate) probed: Probed,
     pub(crate) down: bool,
+    /// When it was found down.
+    down_since: Instant,
     misses: u32,
     answers: u32,
     /// Nonce of the probe on its way and when it was sent.
@@ -31,6 +34,7 @@
         Self {
             probed,
             down: false,
+            down_since: next,
             misses: 0,
             answers: 0,
             sent: None,
@@ -109,6 +113,32 @@
         }
     }
 
+    /// Notes that the target is down.
+    pub(crate) fn condemn(&mut self, now: Instant) {
+        if !self.down {
+            self.down = true;
+            self.down_since = now;
+        }
+    }
+
+    /// Time since the target was found down; none if it is up.
+    pub(crate) fn down_for(&self, now: Instant) -> Option<Duration> {
+        self.down.then(|| now.since(self.down_since))
+    }
+
+    /// Counts the time that the target is down anew.
+    pub(crate) fn postpone(&mut self, now: Instant) {
+        self.down_since = now;
+    }
+
+    /// The run that the target's record names, as a verdict lists it.
+    pub(crate) fn as_down(&self) -> Down {
+        Down {
+            target: self.probed.target.clone(),
+            incarnation: self.probed.incarnation,
+        }
+    }
+
     /// Whether enough probes in a row were not answered.
     pub(crate) fn is_silent(&self) -> bool {
         self.misses >= DOWN_AFTER
--- a/crates/lavenderseam_core/src/liveness/mod.rs
+++ b/crates/lavenderseam_core/src/liveness/mod.rs
@@ -12,5 +12,5 @@
 mod health;
 mod prober;
 
-pub use assignment::{PROBERS, Probed, assign};
+pub use assignment::{Assignment, PROBERS, Probed};
 pub use prober::{Action, Echo, Prober};
--- a/crates/lavenderseam_core/src/liveness/prober.rs
+++ b/crates/lavenderseam_core/src/liveness/prober.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use super::health::Health;
-use super::{Probed, assign};
-use crate::catalog::Catalog;
+use super::{Assignment, Probed};
+use crate::catalog::Entry;
 use crate::id::{self, Incarnation, Tag};
 use crate::rank::score;
 use crate::record::{Down, Id, Kind, Record, Verdict};
@@ -21,6 +21,8 @@
 const WRITE_INTERVAL: Duration = Duration::from_secs(1);
 /// Pause after a write that failed.
 const WRITE_RETRY: Duration = Duration::from_secs(2);
+/// Time after which a target that is down is forgotten; its agent announces itself anew if it lives.
+const FORGET_AFTER: Duration = Duration::from_secs(3600);
 /// Targets below which silence of most says nothing about the balancer itself.
 const ISOLATION_MINIMUM: usize = 4;
 
@@ -36,6 +38,8 @@
     },
     /// Write this verdict; the outcome comes back by [`Prober::written`].
     Write(Verdict),
+    /// Delete the record of a target that has been down for long, if it still names this run.
+    Forget(Down),
 }
 
 /// The answer to a probe.
@@ -53,6 +57,8 @@
 #[derive(Clone, Debug)]
 pub struct Prober {
     own: Id,
+    assignment: Assignment,
+    assignment_changed: bool,
     seed: u64,
     draws: u64,
     health: BTreeMap<Tag, Health>,
@@ -68,6 +74,8 @@
     pub fn new(name: &id::Balancer, seed: u64, now: Instant) -> Self {
         Self {
             own: Id::new(Kind::Verdict, name),
+            assignment: Assignment::new(MemberId::new(&Id::new(Kind::Balancer, name))),
+            assignment_changed: false,
             seed,
             draws: 0,
             health: BTreeMap::new(),
@@ -78,17 +86,22 @@
         }
     }
 
-    /// Follows the records: probes the targets assigned to this balancer.
-    pub fn follow(&mut self, catalog: &Catalog, now: Instant) {
-        let balancer = Id::new(Kind::Balancer, &self.own.name);
-        let assigned = assign(MemberId::new(&balancer), catalog);
+    /// Takes an entry that the catalog has taken.
+    pub fn apply(&mut self, entry: &Entry) {
+        self.assignment_changed |= self.assignment.apply(entry);
+        // Perhaps the verdict of an earlier run of the balancer.
+        if entry.id == self.own && self.writing.is_none() {
+            self.written = verdict(entry);
+        }
+    }
+
+    /// Probes the targets that are assigned now.
+    fn follow(&mut self, now: Instant) {
+        let assigned = self.assignment.assigned().clone();
         self.health.retain(|tag, _| assigned.contains_key(tag));
         for (tag, probed) in assigned {
             self.follow_target(tag, probed, now);
         }
-        if self.writing.is_none() {
-            self.written = written(&self.own, catalog);
-        }
     }
 
     fn follow_target(&mut self, tag: Tag, probed: Probed, now: Instant) {
@@ -112,9 +125,13 @@
         self.health
             .values_mut()
             .for_each(|health| health.expire(now));
-        self.judge();
+        if std::mem::take(&mut self.assignment_changed) {
+            self.follow(now);
+        }
+        self.judge(now);
         let mut actions = self.probe(now);
         actions.extend(self.write(now));
+        actions.extend(self.forget(now));
         actions
     }
 
@@ -144,22 +161,19 @@
     #[must_use]
     pub fn verdict(&self) -> Verdict {
         let down = self.health.values().filter(|health| health.down);
-        let down = down.map(|health| Down {
-            target: health.probed.target.clone(),
-            incarnation: health.probed.incarnation,
-        });
+        let down = down.map(Health::as_down);
         Verdict {
             down: down.collect(),
         }
     }
 
     /// Condemns silent targets unless this balancer seems cut off itself.
-    fn judge(&mut self) {
+    fn judge(&mut self, now: Instant) {
         if self.is_isolated() {
             return;
         }
         let silent = self.health.values_mut().filter(|health| health.is_silent());
-        silent.for_each(|health| health.down = true);
+        silent.for_each(|health| health.condemn(now));
     }
 
     /// Whether most targets stopped answering of late.
@@ -209,15 +223,27 @@
         Some(Action::Write(verdict))
     }
 
+    /// One target that has been down for long.
+    fn forget(&mut self, now: Instant) -> Option<Action> {
+        let mut long = self.health.values_mut().filter(|health| {
+            health
+                .down_for(now)
+                .is_some_and(|span| span >= FORGET_AFTER)
+        });
+        let health = long.next()?;
+        health.postpone(now);
+        Some(Action::Forget(health.as_down()))
+    }
+
     fn draw(&mut self) -> u64 {
         self.draws += 1;
         score(self.seed, self.draws)
     }
 }
 
-/// The verdict that is in force, perhaps of an earlier run of the balancer.
-fn written(own: &Id, catalog: &Catalog) -> Verdict {
-    let document = catalog.entry(own).and_then(|entry| entry.document.as_ref());
+/// The verdict that an entry holds.
+fn verdict(entry: &Entry) -> Verdict {
+    let document = entry.document.as_ref();
     let verdict = document.and_then(|document| Verdict::read(document).ok());
     verdict.unwrap_or(Verdict { down: Vec::new() })
 }
--- a/crates/lavenderseam_core/tests/liveness.rs
+++ b/crates/lavenderseam_core/tests/liveness.rs
@@ -11,7 +11,7 @@
 use googletest::prelude::*;
 use lavenderseam_core::catalog::{Catalog, Entry, Revision};
 use lavenderseam_core::id::{self, Incarnation, Tag};
-use lavenderseam_core::liveness::{Action, Echo, PROBERS, Prober, assign};
+use lavenderseam_core::liveness::{Action, Assignment, Echo, PROBERS, Prober};
 use lavenderseam_core::record::{Document, Id, Kind, Record, Schema, Target, Verdict};
 use lavenderseam_core::relay::MemberId;
 use lavenderseam_core::time::Instant;
@@ -28,6 +28,7 @@
     cut: Vec<usize>,
     writes: Vec<usize>,
     probes: usize,
+    forgotten: Vec<String>,
 }
 
 fn entries(balancers: usize, targets: usize, regions: usize) -> Vec<Document> {
@@ -51,7 +52,7 @@
         let probers = (0..BALANCERS).map(|index| {
             let name = id::Balancer::new(&format!("balancer-{index}")).unwrap();
             let mut prober = Prober::new(&name, index as u64, now);
-            prober.follow(&catalog, now);
+            catalog.entries().for_each(|entry| prober.apply(entry));
             prober
         });
         Self {
@@ -62,6 +63,7 @@
             cut: Vec::new(),
             writes: vec![0; BALANCERS],
             probes: 0,
+            forgotten: Vec::new(),
         }
     }
 
@@ -80,6 +82,7 @@
             match action {
                 Action::Probe { peer, nonce } => self.probe(index, peer, nonce),
                 Action::Write(verdict) => self.write(index, &verdict),
+                Action::Forget(down) => self.forgotten.push(down.target.to_string()),
             }
         }
     }
@@ -107,14 +110,17 @@
         self.writes[index] += 1;
         let mut document = Document::new(Kind::Verdict, format!("balancer-{index}"), Schema(1));
         verdict.write(&mut document);
-        let revision = Revision(self.catalog.head().0 + 1);
-        self.catalog.apply(Entry::with_document(revision, document));
+        self.put(document);
         self.probers[index].written(true, self.now);
-        let now = self.now;
-        let catalog = &self.catalog;
+    }
+
+    fn put(&mut self, document: Document) {
+        let revision = Revision(self.catalog.head().0 + 1);
+        let entry = Entry::with_document(revision, document);
         self.probers
             .iter_mut()
-            .for_each(|prober| prober.follow(catalog, now));
+            .for_each(|prober| prober.apply(&entry));
+        self.catalog.apply(entry);
     }
 
     fn down(&self, index: usize) -> Vec<String> {
@@ -134,10 +140,14 @@
     let mut loads = Vec::new();
     for index in 0..90 {
         let id = MemberId::new(&Id::new(Kind::Balancer, format!("balancer-{index}")));
-        let assigned = assign(id, &catalog);
+        let mut assignment = Assignment::new(id);
+        catalog.entries().for_each(|entry| {
+            assignment.apply(entry);
+        });
+        let assigned = assignment.assigned();
         loads.push(assigned.len());
         for (tag, target) in assigned {
-            *probed.entry(tag).or_default() += 1;
+            *probed.entry(*tag).or_default() += 1;
             let number: usize = target.target.as_str()[7..].parse().unwrap();
             assert_that!((number - 1000) % 3, eq(index % 3));
         }
@@ -228,7 +238,9 @@
     let name = id::Balancer::new("balancer-0").unwrap();
     fixture.silent.clear();
     fixture.probers[0] = Prober::new(&name, 99, fixture.now);
-    fixture.probers[0].follow(&fixture.catalog, fixture.now);
+    for entry in fixture.catalog.entries() {
+        fixture.probers[0].apply(entry);
+    }
     fixture.run(Duration::from_secs(10));
     let held = fixture
         .catalog
@@ -247,10 +259,18 @@
     let mut target = Target::read(&document).unwrap();
     target.incarnation = Incarnation(77);
     target.write(&mut document);
-    let revision = Revision(fixture.catalog.head().0 + 1);
-    fixture
-        .catalog
-        .apply(Entry::with_document(revision, document));
-    fixture.probers[0].follow(&fixture.catalog, fixture.now);
+    fixture.put(document);
+    fixture.silent.clear();
+    fixture.run(TICK);
     assert_that!(fixture.down(0), is_empty());
 }
+
+#[gtest]
+fn a_target_that_is_down_for_long_is_forgotten() {
+    let mut fixture = Fixture::new(10);
+    fixture.silent = vec![1003];
+    fixture.run(Duration::from_secs(3590));
+    assert_that!(fixture.forgotten, is_empty());
+    fixture.run(Duration::from_secs(30));
+    assert_that!(fixture.forgotten, len(eq(BALANCERS)));
+}
