Feed the processes through the relay and probe targets

The plugin drives the relay node: one watch call at a time, pushes and pulls as sealed remote calls, views compiled on a blocking thread for each burst of changes, the gate opened only with the view of the records that were confirmed.

--- a/crates/lavenderseam_control/src/announce.rs
+++ b/crates/lavenderseam_control/src/announce.rs
@@ -4,15 +4,24 @@
 use std::time::Duration;
 
 use lavenderseam_app::{Phase as Step, Shutdown};
+use lavenderseam_core::catalog::Entry;
+use lavenderseam_core::id::Incarnation;
 use lavenderseam_core::record::{self, Document, Id, Kind, Phase, Record, Schema};
+use lavenderseam_core::relay::Event;
 use lavenderseam_platform::write::{self, Change, Outcome, Policy};
 use lavenderseam_platform::{Error, Store};
 
+use rand::RngExt as _;
+use rand::rand_core::UnwrapErr;
+use rand::rngs::SysRng;
+
 use crate::shared::Shared;
 use crate::{Announcement, Role};
 
-/// Pause before an announcement that failed is tried again.
+/// Pause before an announcement that failed is tried again; it doubles with each.
 const RETRY: Duration = Duration::from_secs(1);
+/// Longest pause before an announcement is tried again.
+const RETRY_LIMIT: Duration = Duration::from_secs(16);
 /// Longest time that a planned stop waits for the store to take the last announcement.
 const STOP_LIMIT: Duration = Duration::from_secs(3);
 
@@ -46,28 +55,49 @@
 }
 
 /// Announces every wanted phase until a planned stop begins.
-async fn serve<S: Store>(shared: &Shared<S>, announcement: &Announcement, mut shutdown: Shutdown) {
+async fn serve<S: Store>(
+    shared: &Arc<Shared<S>>,
+    announcement: &Announcement,
+    mut shutdown: Shutdown,
+) {
     let mut wanted = announcement.subscribe();
+    let mut announced = false;
+    let mut pause = RETRY;
     while shutdown.phase() == Step::Running {
         let phase = *wanted.borrow_and_update();
-        let announced = tokio::select! {
-            announced = announce(shared, phase) => announced,
+        let outcome = tokio::select! {
+            outcome = announce(shared, phase, announced) => outcome,
             () = shutdown.draining() => return,
         };
-        let pause = if announced.is_ok() { None } else { Some(RETRY) };
-        if let Err(error) = announced {
-            shared
-                .log
-                .warn(format_args!("can't announce the process: {error}"));
-        }
+        let retry = match outcome {
+            Ok(()) => {
+                announced = true;
+                pause = RETRY;
+                None
+            }
+            Err(error) => {
+                shared
+                    .log
+                    .warn(format_args!("can't announce the process: {error}"));
+                pause = (pause * 2).min(RETRY_LIMIT);
+                Some(jittered(pause))
+            }
+        };
         tokio::select! {
             _ = wanted.changed() => {}
-            () = elapsed(pause) => {}
+            () = shared.own_deleted.notified() => {}
+            () = elapsed(retry) => {}
             () = shutdown.draining() => {}
         }
     }
 }
 
+/// Between half of a pause and the whole, so that processes that failed together don't try again
+/// together.
+fn jittered(pause: Duration) -> Duration {
+    pause.mul_f64(UnwrapErr(SysRng).random_range(0.5..1.0))
+}
+
 async fn elapsed(pause: Option<Duration>) {
     match pause {
         Some(pause) => tokio::time::sleep(pause).await,
@@ -76,10 +106,10 @@
 }
 
 /// Announces the planned stop. A balancer has no flows to finish, so its record goes at once.
-async fn leave<S: Store>(shared: &Shared<S>) {
+async fn leave<S: Store>(shared: &Arc<Shared<S>>) {
     let left = match shared.identity.role {
         Role::Balancer(_) => delete(shared).await,
-        Role::Agent { .. } => announce(shared, Phase::Leaving).await,
+        Role::Agent { .. } => announce(shared, Phase::Leaving, true).await,
     };
     if let Err(error) = left {
         shared
@@ -89,7 +119,7 @@
 }
 
 /// Removes the record of an agent that has finished its flows.
-async fn remove<S: Store>(shared: &Shared<S>) {
+async fn remove<S: Store>(shared: &Arc<Shared<S>>) {
     if let Err(error) = delete(shared).await {
         shared
             .log
@@ -97,8 +127,22 @@
     }
 }
 
-async fn announce<S: Store>(shared: &Shared<S>, phase: Phase) -> Result<(), Error> {
+/// Announces a phase. Before the first announcement the record may be an earlier run's and is taken
+/// over; later a record of another run is a newer one's and is left alone.
+async fn announce<S: Store>(
+    shared: &Arc<Shared<S>>,
+    phase: Phase,
+    announced: bool,
+) -> Result<(), Error> {
+    let own = shared.identity.incarnation;
     change(shared, |held| {
+        let other = held.and_then(incarnation).is_some_and(|run| run != own);
+        if announced && other {
+            shared
+                .log
+                .error("another run has taken the process' name over");
+            return Change::Keep;
+        }
         let mut document = held.cloned().unwrap_or_else(|| blank(&shared.id()));
         shared.describe(phase, &mut document);
         if held == Some(&document) {
@@ -111,7 +155,7 @@
 }
 
 /// Deletes the process' record unless a newer run has taken it over.
-async fn delete<S: Store>(shared: &Shared<S>) -> Result<(), Error> {
+async fn delete<S: Store>(shared: &Arc<Shared<S>>) -> Result<(), Error> {
     let own = shared.identity.incarnation;
     change(shared, |held| match held.and_then(incarnation) {
         Some(held) if held == own => Change::Delete,
@@ -121,16 +165,17 @@
 }
 
 async fn change<S: Store>(
-    shared: &Shared<S>,
+    shared: &Arc<Shared<S>>,
     mut decide: impl FnMut(Option<&Document>) -> Change,
 ) -> Result<(), Error> {
-    let decide = |held: Option<&lavenderseam_core::catalog::Entry>| {
-        decide(held.and_then(|entry| entry.document.as_ref()))
-    };
+    let decide = |held: Option<&Entry>| decide(held.and_then(|entry| entry.document.as_ref()));
     let id = shared.id();
-    match write::update(&shared.store, &id, Policy::default(), decide).await? {
-        Outcome::Written(entry) => shared.apply(vec![entry]),
-        Outcome::Kept(held) => shared.apply(held.into_iter().collect()),
+    let entry = match write::update(&shared.store, &id, Policy::default(), decide).await? {
+        Outcome::Written(entry) => Some(entry),
+        Outcome::Kept(held) => held,
+    };
+    if let Some(entry) = entry {
+        shared.handle(Event::Accepted(entry));
     }
     Ok(())
 }
@@ -139,7 +184,7 @@
     Document::new(id.kind, &id.name, Schema(1))
 }
 
-fn incarnation(document: &Document) -> Option<lavenderseam_core::id::Incarnation> {
+fn incarnation(document: &Document) -> Option<Incarnation> {
     match document.kind {
         Kind::Target => Some(record::Target::read(document).ok()?.incarnation),
         _ => Some(record::Balancer::read(document).ok()?.incarnation),
@@ -147,14 +192,6 @@
 }
 
 impl<S: Store> Shared<S> {
-    /// Identity of the process' own record.
-    pub(crate) fn id(&self) -> Id {
-        match &self.identity.role {
-            Role::Balancer(name) => Id::new(Kind::Balancer, name),
-            Role::Agent { target, .. } => Id::new(Kind::Target, target),
-        }
-    }
-
     /// Writes what the process is into its document.
     fn describe(&self, phase: Phase, document: &mut Document) {
         let identity = &self.identity;
--- a/crates/lavenderseam_control/src/gate.rs
+++ b/crates/lavenderseam_control/src/gate.rs
@@ -3,8 +3,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
-/// A process whose clock was not renewed for this long was paused.
-pub(crate) const PAUSE_LIMIT: Duration = Duration::from_millis(1500);
+use lavenderseam_core::relay::PAUSE_LIMIT;
 
 /// Closed while the process has just been paused and hasn't yet checked its records with a peer or
 /// the store; a resource of every daemon. Packets that arrive while it is closed are dropped.
--- a/crates/lavenderseam_control/src/lib.rs
+++ b/crates/lavenderseam_control/src/lib.rs
@@ -5,17 +5,20 @@
 //! metrics.
 
 mod announce;
+mod clock;
 mod gate;
 mod identity;
 mod methods;
 mod phase;
 mod plugin;
+mod probe;
+mod publish;
 pub mod remote;
+mod server;
 mod settings;
 mod shared;
 mod status;
 mod views;
-mod watch;
 
 pub use gate::Gate;
 pub use identity::{Identity, Role};
--- a/crates/lavenderseam_control/src/plugin.rs
+++ b/crates/lavenderseam_control/src/plugin.rs
@@ -5,25 +5,25 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use jsonrpsee::server::{Server, ServerConfig};
-use jsonrpsee::{Methods as Registered, RpcModule};
 use lavenderseam_app::{App, Error, Plugin, Shutdown};
 use lavenderseam_core::id::Incarnation;
+use lavenderseam_core::record::{Id, Kind};
+use lavenderseam_core::relay::{Event, Member, MemberId, Node};
 use lavenderseam_platform::{Client, Store};
 use lavenderseam_telemetry::{Log, Metrics};
 use lavenderseam_wire::Key;
+use parking_lot::Mutex;
 use rand::TryRng;
 use rand::rngs::SysRng;
+use tokio::sync::{Notify, mpsc};
 
-use crate::remote::{MESSAGE_LIMIT, Remote};
-use crate::shared::Shared;
-use crate::{Announcement, Gate, Identity, Methods, Role, Settings, Views};
-use crate::{announce, status, watch};
+use crate::clock::Clock;
+use crate::shared::{Relay, Shared};
+use crate::{Announcement, Gate, Identity, Methods, Remote, Role, Settings, Views};
+use crate::{announce, probe, publish, server};
 
 const PART: &str = "control";
-/// Connections for remote calls that are served at a time.
-const CONNECTION_LIMIT: u32 = 1024;
-/// Time between two renewals of the gate.
+/// Time between two ticks of the relay.
 const TICK: Duration = Duration::from_millis(250);
 
 /// Records, membership and liveness of one process.
@@ -68,100 +68,99 @@
             key,
         })
     }
+
+    fn listen(&self) -> Result<TcpListener, Error> {
+        let listen = || {
+            let listener = TcpListener::bind(self.settings.rpc)?;
+            listener.set_nonblocking(true)?;
+            Ok::<_, std::io::Error>(listener)
+        };
+        listen().map_err(|cause| Error::plugin(PART, cause))
+    }
+
+    fn node(&self, identity: &Identity, clock: &Clock) -> Node {
+        let id = match &self.role {
+            Role::Balancer(name) => Id::new(Kind::Balancer, name),
+            Role::Agent { target, .. } => Id::new(Kind::Target, target),
+        };
+        let own = Member {
+            id: MemberId::new(&id),
+            region: identity.region.clone(),
+            rpc: identity.rpc,
+            balancer: matches!(self.role, Role::Balancer(_)),
+        };
+        let seeds = self.settings.seeds.clone();
+        Node::new(own, seeds, identity.incarnation.0, clock.now())
+    }
 }
 
 impl Plugin for ControlPlugin {
     fn build(&self, app: &mut App) -> Result<(), Error> {
-        let listener = listen(&self.settings).map_err(|cause| Error::plugin(PART, cause))?;
+        let listener = self.listen()?;
         let identity = app.insert(self.identity()?);
         let methods = app.insert(Methods::default());
         let announcement = app.insert(Announcement::new());
-        app.insert(Remote::new(&identity.key));
+        let clock = Clock::new();
+        let node = self.node(&identity, &clock);
+        let (changes, changed) = mpsc::unbounded_channel();
+        let (probe_changes, probe_changed) = mpsc::unbounded_channel();
+        let balancer = match &self.role {
+            Role::Balancer(name) => Some(name.clone()),
+            Role::Agent { .. } => None,
+        };
         let shared = Arc::new(Shared {
-            identity,
             store: Client::new(self.settings.store),
-            catalog: parking_lot::Mutex::default(),
-            changed: tokio::sync::Notify::new(),
+            clock,
+            relay: Mutex::new(Relay { node, pauses: 0 }),
+            changes,
+            probe_changes: balancer.is_some().then_some(probe_changes),
+            own_deleted: Notify::new(),
             views: app.insert(Views::new()),
             gate: app.insert(Gate::new()),
             metrics: app.insert(self.metrics.clone()),
+            remote: app.insert(Remote::new(&identity.key)),
             log: Log::new(PART),
+            identity,
         });
-        let shutdown = app.shutdown();
-        app.spawn("control tick", tick(Arc::clone(&shared), shutdown.clone()));
+        let stop = app.shutdown();
+        let task = || (Arc::clone(&shared), stop.clone());
+        let (state, shutdown) = task();
+        app.spawn("control tick", tick(state, shutdown));
+        let (state, shutdown) = task();
+        app.spawn("control views", publish::run(state, changed, shutdown));
+        let (state, shutdown) = task();
         app.spawn(
-            "control views",
-            publish(Arc::clone(&shared), shutdown.clone()),
-        );
-        app.spawn(
-            "control watch",
-            watch::run(Arc::clone(&shared), shutdown.clone()),
+            "control announcement",
+            announce::run(state, announcement, shutdown),
         );
+        if let Some(name) = balancer {
+            let (state, shutdown) = task();
+            app.spawn(
+                "control probes",
+                probe::run(state, name, probe_changed, shutdown),
+            );
+        }
+        let (state, shutdown) = task();
         app.spawn(
-            "control announcement",
-            announce::run(Arc::clone(&shared), announcement, shutdown.clone()),
+            "control server",
+            server::run(state, listener, methods, shutdown),
         );
-        app.spawn("control server", serve(shared, listener, methods, shutdown));
         Ok(())
     }
 }
 
-fn listen(settings: &Settings) -> std::io::Result<TcpListener> {
-    let listener = TcpListener::bind(settings.rpc)?;
-    listener.set_nonblocking(true)?;
-    Ok(listener)
-}
-
-/// Renews the gate until the app halts.
+/// Lets the relay's time pass until the app halts.
 async fn tick<S: Store>(shared: Arc<Shared<S>>, mut shutdown: Shutdown) {
     let mut interval = tokio::time::interval(TICK);
+    interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
         tokio::select! {
-            _ = interval.tick() => shared.gate.renew(),
-            () = shutdown.halted() => return,
-        }
-    }
-}
-
-/// Publishes a view after every burst of changes until the app halts.
-async fn publish<S: Store>(shared: Arc<Shared<S>>, mut shutdown: Shutdown) {
-    loop {
-        tokio::select! {
-            () = shared.changed.notified() => shared.publish().await,
+            _ = interval.tick() => {
+                shared.clock.look();
+                shared.handle(Event::Tick);
+                shared.gate.renew();
+            }
             () = shutdown.halted() => return,
         }
     }
 }
-
-/// Serves remote calls until the app halts.
-async fn serve<S: Store>(
-    shared: Arc<Shared<S>>,
-    listener: TcpListener,
-    methods: Arc<Methods>,
-    mut shutdown: Shutdown,
-) {
-    let log = shared.log;
-    let config = ServerConfig::builder()
-        .max_connections(CONNECTION_LIMIT)
-        .max_request_body_size(MESSAGE_LIMIT)
-        .max_response_body_size(MESSAGE_LIMIT)
-        .build();
-    let server = match Server::builder()
-        .set_config(config)
-        .build_from_tcp(listener)
-    {
-        Ok(server) => server,
-        Err(error) => return log.error(format_args!("can't serve remote calls: {error}")),
-    };
-    let mut module = RpcModule::new(shared);
-    status::register(&mut module);
-    let mut offered = Registered::from(module);
-    for other in methods.take() {
-        if let Err(error) = offered.merge(other) {
-            log.error(format_args!("a remote method is registered twice: {error}"));
-        }
-    }
-    let handle = server.start(offered);
-    shutdown.halted().await;
-    let _ = handle.stop();
-}
--- a/crates/lavenderseam_control/src/status.rs
+++ b/crates/lavenderseam_control/src/status.rs
@@ -12,6 +12,7 @@
 use lavenderseam_platform::Store;
 
 use crate::Role;
+use crate::remote::Error;
 use crate::shared::Shared;
 
 value! {
@@ -31,18 +32,27 @@
         pub view: Revision,
         /// Whether the process acts on its view.
         pub gate: bool,
+        /// Whether the process watches the store.
+        pub watching: bool,
+        /// Time since the store was last known to hold nothing newer, in milliseconds; none if that
+        /// was never known.
+        pub age_ms: Option<u64>,
         /// Revision in force of each record, by kind and name; deleted records are left out.
         pub records: BTreeMap<String, BTreeMap<String, Revision>>,
     }
 }
 
 /// Registers the method. It takes an optional list of the kinds to report.
-pub(crate) fn register<S: Store>(module: &mut RpcModule<Arc<Shared<S>>>) {
+///
+/// # Errors
+///
+/// Returns [`Error::Malformed`] if the method is registered already.
+pub(crate) fn register<S: Store>(module: &mut RpcModule<Arc<Shared<S>>>) -> Result<(), Error> {
     let registered = module.register_method("status", |parameters, shared, _| {
         let kinds: Option<Vec<Kind>> = parameters.sequence().optional_next()?;
         Ok::<_, ErrorObjectOwned>(status(shared, &kinds.unwrap_or(Kind::ALL.to_vec())))
     });
-    debug_assert!(registered.is_ok(), "the method is registered once");
+    registered.map(|_| ()).map_err(|_| Error::Malformed)
 }
 
 fn status<S: Store>(shared: &Shared<S>, kinds: &[Kind]) -> Status {
@@ -50,13 +60,15 @@
         Role::Balancer(name) => (name.to_string(), "balancer"),
         Role::Agent { target, .. } => (target.to_string(), "agent"),
     };
-    let catalog = shared.catalog.lock();
+    let relay = shared.relay.lock();
+    let catalog = relay.node.catalog();
     let mut records: BTreeMap<String, BTreeMap<String, Revision>> = BTreeMap::new();
     let present = catalog.entries().filter(|entry| entry.document.is_some());
     for entry in present.filter(|entry| kinds.contains(&entry.id.kind)) {
         let of_kind = records.entry(entry.id.kind.to_string()).or_default();
         of_kind.insert(entry.id.name.clone(), entry.revision);
     }
+    let age = relay.node.age(shared.clock.now());
     Status {
         name,
         role: role.to_owned(),
@@ -65,6 +77,8 @@
         head: catalog.head(),
         view: shared.views.present().revision(),
         gate: shared.gate.is_open(),
+        watching: relay.node.is_watching(),
+        age_ms: age.and_then(|age| u64::try_from(age.as_millis()).ok()),
         records,
     }
 }
