--- /dev/null
+++ b/crates/lavenderseam_agent/src/server/mod.rs
@@ -0,0 +1,50 @@
+//! The HTTP/3 server: from callers' requests to the backend server's answers.
+//!
+//! - [`connection`]: one caller's connection, from its handshake to its end.
+//! - [`request`]: reads one request and decides which way it takes.
+//! - [`repeatable`]: requests that may be repeated, downloads and live feeds; streamed.
+//! - [`edit`]: requests that may not be repeated; at most once.
+//! - [`reply`]: writes answers that are whole, and answers of the agent's own.
+
+mod connection;
+mod edit;
+mod repeatable;
+mod reply;
+mod request;
+
+use std::sync::Arc;
+
+use lavenderseam_telemetry::{Log, Metrics};
+use tokio::sync::watch;
+use tokio::time::Instant;
+
+use crate::backend::Backend;
+use crate::flows::Flows;
+use crate::gauge::Gauge;
+use crate::ledger::Ledger;
+use crate::remote::Inquirer;
+
+pub(crate) use connection::serve;
+
+/// Whether callers' connections may stay.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Stage {
+    /// They may.
+    Serving,
+    /// They are to end once their requests have, at the latest at this time.
+    Draining(Instant),
+    /// They end now: the failure domain is out.
+    Out,
+}
+
+/// What all connections share.
+pub(crate) struct Server {
+    pub(crate) backend: Backend,
+    pub(crate) gauge: Arc<Gauge>,
+    pub(crate) ledger: Arc<Ledger>,
+    pub(crate) inquirer: Inquirer,
+    pub(crate) flows: Arc<Flows>,
+    pub(crate) stage: watch::Sender<Stage>,
+    pub(crate) metrics: Arc<Metrics>,
+    pub(crate) log: Log,
+}
--- /dev/null
+++ b/crates/lavenderseam_agent/src/server/request.rs
@@ -0,0 +1,184 @@
+//! Reads one request and decides which way it takes.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use h3::error::StreamError;
+use h3::server::RequestResolver;
+use http::{Method, Request, StatusCode, header as field};
+use lavenderseam_core::request::{Refusal, Stage};
+use tokio::time::Instant;
+
+use super::{Server, edit, repeatable, reply};
+use crate::header;
+use crate::transport::{self, Watch};
+
+/// Time for a request that names none and isn't a live feed.
+const DEADLINE_DEFAULT: Duration = Duration::from_secs(60);
+/// Time in which the caller must have taken in an answer that is sent whole.
+const RECEIPT_TIMEOUT: Duration = Duration::from_secs(10);
+/// Media type of a live feed.
+const FEED: &str = "text/event-stream";
+
+/// One request's stream.
+pub(super) type Stream = h3::server::RequestStream<transport::Stream<Bytes>, Bytes>;
+
+/// How a request is to be treated.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Kind {
+    /// It may be repeated.
+    Repeatable,
+    /// It may be repeated, has no end of its own and takes no slot.
+    Feed,
+    /// It may not be repeated.
+    Edit,
+}
+
+/// A request's stream and its surroundings.
+pub(super) struct Exchange {
+    pub(super) server: Arc<Server>,
+    pub(super) stream: Stream,
+    pub(super) watch: Watch,
+    /// None for a feed without one.
+    pub(super) deadline: Option<Instant>,
+}
+
+/// Why an exchange ended early.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Gone {
+    /// The caller has given the answer up.
+    Cancelled,
+    /// The caller's connection is lost.
+    Lost,
+    /// The deadline has passed.
+    Late,
+}
+
+/// Serves one request.
+pub(super) async fn serve(
+    server: Arc<Server>,
+    resolver: RequestResolver<transport::Connection, Bytes>,
+    watch: Watch,
+) {
+    let Ok((request, stream)) = resolver.resolve_request().await else {
+        return;
+    };
+    let kind = Kind::new(&request);
+    let mut exchange = Exchange {
+        deadline: deadline(&request, kind),
+        server,
+        stream,
+        watch,
+    };
+    exchange.server.metrics.count("requests", 1);
+    let served = match kind {
+        Kind::Repeatable | Kind::Feed => repeatable::serve(&mut exchange, request, kind).await,
+        Kind::Edit => edit::serve(&mut exchange, request).await,
+    };
+    if served.is_ok() {
+        exchange.received().await;
+    }
+}
+
+impl Kind {
+    fn new(request: &Request<()>) -> Self {
+        let accept = request.headers().get(field::ACCEPT);
+        let feed = accept
+            .and_then(|accept| accept.to_str().ok())
+            .is_some_and(|accept| accept.contains(FEED));
+        match *request.method() {
+            Method::GET if feed => Self::Feed,
+            Method::GET | Method::HEAD | Method::OPTIONS => Self::Repeatable,
+            _ => Self::Edit,
+        }
+    }
+}
+
+impl Exchange {
+    /// Resolves when the exchange has to end early.
+    pub(super) async fn gone(&mut self) -> Gone {
+        tokio::select! {
+            gone = gone(&mut self.watch) => gone,
+            () = passed(self.deadline) => Gone::Late,
+        }
+    }
+
+    /// Answers on the agent's own account.
+    pub(super) async fn refuse(
+        &mut self,
+        status: StatusCode,
+        refusal: &Refusal,
+    ) -> Result<(), StreamError> {
+        let response = reply::refusal(status, refusal);
+        reply::send(&mut self.stream, response).await
+    }
+
+    /// Answers that the window is full.
+    pub(super) async fn refuse_full(&mut self, retry_after: Duration) -> Result<(), StreamError> {
+        self.server.metrics.count("requests.refused", 1);
+        let refusal = Refusal::with_retry_after(Stage::Held, retry_after);
+        self.refuse(StatusCode::SERVICE_UNAVAILABLE, &refusal).await
+    }
+
+    /// Time left for the backend server.
+    pub(super) fn remaining(&self) -> Option<Duration> {
+        self.deadline
+            .map(|deadline| deadline.saturating_duration_since(Instant::now()))
+    }
+
+    /// Waits until the caller has all of the answer, so that the connection isn't closed before.
+    async fn received(&mut self) {
+        // A caller that doesn't take the answer in holds the connection no longer than this.
+        let _ = tokio::time::timeout(RECEIPT_TIMEOUT, &mut self.watch).await;
+    }
+}
+
+/// Resolves when the caller has given up a stream or is lost.
+pub(super) async fn gone(watch: &mut Watch) -> Gone {
+    match watch.await {
+        Ok(Some(_)) => Gone::Cancelled,
+        Ok(None) => std::future::pending().await,
+        Err(_) => Gone::Lost,
+    }
+}
+
+/// Resolves when a deadline has passed.
+pub(super) async fn passed(deadline: Option<Instant>) {
+    match deadline {
+        Some(deadline) => tokio::time::sleep_until(deadline).await,
+        None => std::future::pending().await,
+    }
+}
+
+fn deadline(request: &Request<()>, kind: Kind) -> Option<Instant> {
+    let named = header::parsed(request.headers(), &header::DEADLINE).map(Duration::from_millis);
+    let time = match kind {
+        Kind::Feed => named,
+        Kind::Repeatable | Kind::Edit => Some(named.unwrap_or(DEADLINE_DEFAULT)),
+    };
+    time.map(|time| Instant::now() + time)
+}
+
+/// The request as the backend server gets it.
+pub(super) fn forwarded(
+    exchange: &Exchange,
+    request: Request<()>,
+    body: Bytes,
+) -> Request<http_body_util::Full<Bytes>> {
+    let (mut parts, ()) = request.into_parts();
+    let headers = &mut parts.headers;
+    header::strip_hop_by_hop(headers);
+    headers.remove(header::BINDING);
+    if let Some(remaining) = exchange.remaining() {
+        headers.insert(header::DEADLINE, header::value(remaining.as_millis()));
+    }
+    if let Some(authority) = parts.uri.authority() {
+        headers.insert(field::HOST, header::value(authority));
+    }
+    headers
+        .entry(header::REQUEST_ID)
+        .or_insert_with(|| header::value(format_args!("{:032x}", rand::random::<u128>())));
+    parts.version = http::Version::HTTP_11;
+    Request::from_parts(parts, http_body_util::Full::new(body))
+}
--- /dev/null
+++ b/crates/lavenderseam_agent/src/transport/reset_key.rs
@@ -0,0 +1,35 @@
+//! The key of stateless resets, the same on all agents.
+
+use lavenderseam_wire::Key;
+use quinn::crypto::{CryptoError, HmacKey};
+
+/// Length of a reset token, in bytes.
+const TOKEN_LENGTH: usize = 16;
+
+/// Signs connection ids for stateless resets.
+pub(crate) struct ResetKey(Key);
+
+impl ResetKey {
+    /// `key` is derived for stateless resets.
+    pub(crate) fn new(key: Key) -> Self {
+        Self(key)
+    }
+}
+
+impl HmacKey for ResetKey {
+    fn sign(&self, data: &[u8], signature: &mut [u8]) {
+        signature.copy_from_slice(&self.0.tag(data));
+    }
+
+    fn signature_len(&self) -> usize {
+        TOKEN_LENGTH
+    }
+
+    fn verify(&self, data: &[u8], signature: &[u8]) -> Result<(), CryptoError> {
+        if self.0.verifies(data, signature) {
+            Ok(())
+        } else {
+            Err(CryptoError)
+        }
+    }
+}
