--- a/crates/lavenderseam_agent/src/server/edit.rs
+++ b/crates/lavenderseam_agent/src/server/edit.rs
@@ -108,7 +108,7 @@
     let mut response = reply::refusal(StatusCode::PRECONDITION_REQUIRED, &refusal);
     let binding = header::value(ledger.bind());
     response.headers_mut().insert(header::BINDING, binding);
-    reply::send(&mut exchange.stream, response).await
+    exchange.send(response).await
 }
 
 /// Asks the agent that the request is bound to; it is never run here.
@@ -128,9 +128,7 @@
 /// Answers from what is known.
 async fn replay(exchange: &mut Exchange, inquiry: Inquiry<Answer>) -> Result<(), StreamError> {
     match inquiry {
-        Inquiry::Finished(answer) => {
-            reply::send(&mut exchange.stream, answer.into_response()).await
-        }
+        Inquiry::Finished(answer) => exchange.send(answer.into_response()).await,
         Inquiry::NotRun => refuse(exchange, Ran::No).await,
         Inquiry::Unknown | Inquiry::Running => refuse(exchange, Ran::Unknown).await,
     }
@@ -187,9 +185,7 @@
         }
     };
     match ended {
-        Some(Ended::Answered(answer)) => {
-            reply::send(&mut exchange.stream, answer.into_response()).await
-        }
+        Some(Ended::Answered(answer)) => exchange.send(answer.into_response()).await,
         Some(Ended::Refused(status, refusal)) => exchange.refuse(status, &refusal).await,
         None => {
             exchange.stream.stop_stream(Code::H3_INTERNAL_ERROR);
--- a/crates/lavenderseam_agent/src/server/request.rs
+++ b/crates/lavenderseam_agent/src/server/request.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use h3::error::StreamError;
 use h3::server::RequestResolver;
-use http::{Method, Request, StatusCode, header as field};
+use http::{HeaderValue, Method, Request, Response, StatusCode, header as field};
 use lavenderseam_core::request::{Refusal, Stage};
 use tokio::time::Instant;
 
@@ -42,6 +42,8 @@
     pub(super) watch: Watch,
     /// None for a feed without one.
     pub(super) deadline: Option<Instant>,
+    /// The caller's id of this attempt.
+    pub(super) id: Option<HeaderValue>,
 }
 
 /// Why an exchange ended early.
@@ -67,6 +69,7 @@
     let kind = Kind::new(&request);
     let mut exchange = Exchange {
         deadline: deadline(&request, kind),
+        id: request.headers().get(&header::REQUEST_ID).cloned(),
         server,
         stream,
         watch,
@@ -111,6 +114,15 @@
         refusal: &Refusal,
     ) -> Result<(), StreamError> {
         let response = reply::refusal(status, refusal);
+        self.send(response).await
+    }
+
+    /// Sends a whole response under this attempt's id: a stored answer has that of an earlier one.
+    pub(super) async fn send(&mut self, mut response: Response<Bytes>) -> Result<(), StreamError> {
+        if let Some(id) = &self.id {
+            let headers = response.headers_mut();
+            headers.insert(header::REQUEST_ID, id.clone());
+        }
         reply::send(&mut self.stream, response).await
     }
 
--- a/crates/lavenderseam_agent/tests/serving.rs
+++ b/crates/lavenderseam_agent/tests/serving.rs
@@ -47,7 +47,6 @@
     let key: Key = "edit-1".parse().or_fail()?;
     for _ in 0..3 {
         let outcome = caller.edit("/edits", &key, "one".into(), TIME).await;
-        eprintln!("{outcome:?}");
         let answer = outcome.answered().or_fail()?;
         expect_that!(answer.body.as_ref(), eq(b"one"));
     }
