--- a/crates/lavenderseam_bench/src/commands/mod.rs
+++ b/crates/lavenderseam_bench/src/commands/mod.rs
@@ -1,5 +1,9 @@
 //! The subcommands.
 
+mod catalogue;
+mod mixed;
+mod report;
+mod run;
 mod stand_in;
 mod up;
 
@@ -12,20 +16,32 @@
 #[derive(FromArgs)]
 #[argh(subcommand)]
 pub(crate) enum Command {
+    Run(run::Run),
+    List(catalogue::List),
+    Ci(catalogue::Ci),
+    Mixed(mixed::Mixed),
+    Report(report::Report),
     Up(up::Up),
     Fabric(stand_in::Fabric),
     Platform(stand_in::Platform),
     Backend(stand_in::Backend),
+    Hashing(stand_in::Hashing),
 }
 
 impl Command {
     /// Executes the subcommand.
     pub(crate) async fn execute(self) -> Result<ExitCode, Error> {
         match self {
+            Self::Run(run) => run.execute().await,
+            Self::List(list) => list.execute(),
+            Self::Ci(ci) => ci.execute().await,
+            Self::Mixed(mixed) => mixed.execute().await,
+            Self::Report(report) => report.execute(),
             Self::Up(up) => up.execute().await,
             Self::Fabric(fabric) => fabric.execute().await,
             Self::Platform(platform) => platform.execute().await,
             Self::Backend(backend) => backend.execute().await,
+            Self::Hashing(hashing) => hashing.execute().await,
         }
     }
 }
--- a/crates/lavenderseam_bench/src/commands/stand_in.rs
+++ b/crates/lavenderseam_bench/src/commands/stand_in.rs
@@ -5,7 +5,7 @@
 
 use argh::FromArgs;
 use lavenderseam_bench::Error;
-use lavenderseam_bench::standins::{backend, fabric, load, platform};
+use lavenderseam_bench::standins::{backend, fabric, hashing, load, platform};
 
 /// Run the fabric stand-in.
 #[derive(FromArgs)]
@@ -34,6 +34,22 @@
     settings: PathBuf,
 }
 
+/// Run the hashing baseline.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "hashing")]
+pub(crate) struct Hashing {
+    /// settings file
+    #[argh(option)]
+    settings: PathBuf,
+}
+
+impl Hashing {
+    pub(crate) async fn execute(self) -> Result<ExitCode, Error> {
+        hashing::run(load(&self.settings)?).await?;
+        Ok(ExitCode::SUCCESS)
+    }
+}
+
 impl Fabric {
     pub(crate) async fn execute(self) -> Result<ExitCode, Error> {
         fabric::run(load(&self.settings)?).await?;
--- a/crates/lavenderseam_bench/src/error.rs
+++ b/crates/lavenderseam_bench/src/error.rs
@@ -55,13 +55,15 @@
     Certificate(rcgen::Error),
     /// The deployment was not ready in time; holds what was still missing.
     NotReady(String),
+    /// The user or the system asked the bench to end.
+    Interrupted,
     /// The system refused a call to it.
     System(io::Error),
 }
 
 impl Error {
     /// An error about a file.
-    pub(crate) fn file(path: impl Into<PathBuf>, cause: io::Error) -> Self {
+    pub fn file(path: impl Into<PathBuf>, cause: io::Error) -> Self {
         Self::File {
             path: path.into(),
             cause,
@@ -69,7 +71,7 @@
     }
 
     /// An error about a setting.
-    pub(crate) fn setting(
+    pub fn setting(
         key: impl fmt::Display,
         value: impl fmt::Display,
         allowed: impl fmt::Display,
@@ -111,6 +113,7 @@
             } => write!(formatter, "call of {path} at {address} failed: {detail}"),
             Self::Certificate(cause) => write!(formatter, "can't make a certificate: {cause}"),
             Self::NotReady(missing) => write!(formatter, "not ready in time: {missing}"),
+            Self::Interrupted => formatter.write_str("interrupted"),
             Self::System(cause) => write!(formatter, "system call failed: {cause}"),
         }
     }
--- a/crates/lavenderseam_bench/src/launcher/cluster.rs
+++ b/crates/lavenderseam_bench/src/launcher/cluster.rs
@@ -1,5 +1,6 @@
 //! All processes of a deployment.
 
+use std::net::{IpAddr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
@@ -10,16 +11,28 @@
 use super::files::Files;
 use super::{Deployment, Network, Placement, Process, Programs, readiness, records};
 use crate::Error;
-use crate::standins::{backend, fabric, platform};
+use crate::standins::{backend, fabric, hashing, platform};
 
 /// Longest wait for a deployment to serve.
 const READY_LIMIT: Duration = Duration::from_secs(20);
 
+/// What balances the flows.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum System {
+    /// The balancers of lavenderseam.
+    #[default]
+    Lavenderseam,
+    /// A baseline that does hashing alone; the balancers run beside it for their control part.
+    Hashing,
+}
+
 /// How a deployment is started.
 #[derive(Clone, Debug)]
 pub struct Options {
     /// Seed of the stand-ins' choices.
     pub seed: u64,
+    /// What balances the flows.
+    pub system: System,
     /// Whether to start only the stand-ins.
     pub stand_ins_only: bool,
     /// Whether to keep the directory with settings and logs.
@@ -38,12 +51,13 @@
     fn default() -> Self {
         Self {
             seed: 1,
+            system: System::Lavenderseam,
             stand_ins_only: false,
             keep_files: false,
             log_level: "info",
             cold_ms: 1_500,
             ramp_ms: 5_000,
-            work_ms: 10,
+            work_ms: 40,
         }
     }
 }
@@ -134,6 +148,13 @@
         &self.credentials.key_file
     }
 
+    /// File with the journal of a target's backend server.
+    #[must_use]
+    pub fn journal(&self, placement: &Placement) -> PathBuf {
+        let name = format!("{}.journal", placement.target);
+        self.directory.path.join(name)
+    }
+
     /// The processes, in the order of their start.
     #[must_use]
     pub fn processes(&self) -> &[Process] {
@@ -152,6 +173,74 @@
             .ok_or_else(|| Error::UnknownProcess(name.to_owned()))
     }
 
+    /// Names of processes that have ended by themselves since the last call, but for those that
+    /// are left to someone else.
+    pub(crate) fn take_ended(&mut self, left: impl Fn(&str) -> bool) -> Vec<String> {
+        let processes = self.processes.iter_mut();
+        processes
+            .filter(|process| !left(process.name()))
+            .filter_map(|process| process.ended().map(|_| process.name().to_owned()))
+            .collect()
+    }
+
+    /// The target of a name.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::UnknownProcess`].
+    pub fn placement(&self, target: &str) -> Result<&Placement, Error> {
+        let mut placements = self.placements.iter();
+        placements
+            .find(|placement| placement.target == target)
+            .ok_or_else(|| Error::UnknownProcess(target.to_owned()))
+    }
+
+    /// Address of the service of a name.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::UnknownProcess`].
+    pub fn service(&self, name: &str) -> Result<SocketAddr, Error> {
+        let mut services = self.deployment.groups.iter();
+        let index = services.position(|group| group.name == name);
+        index
+            .map(|index| self.network.service(index))
+            .ok_or_else(|| Error::UnknownProcess(name.to_owned()))
+    }
+
+    /// IP address of a balancer, or of an agent or backend server.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::UnknownProcess`].
+    pub fn host(&self, process: &str) -> Result<IpAddr, Error> {
+        let mut balancers = 0..self.deployment.balancers;
+        if let Some(index) = balancers.find(|index| Deployment::balancer_name(*index) == process) {
+            return Ok(self.network.balancer_fabric(index).ip());
+        }
+        let target = process.strip_prefix("agent-");
+        let target = target.or(process.strip_prefix("backend-"));
+        let placement = self.placement(target.unwrap_or(process))?;
+        Ok(self.network.agent_peer(placement.index).ip())
+    }
+
+    /// Names and addresses for remote calls of all daemons.
+    #[must_use]
+    pub fn daemons(&self) -> Vec<(String, SocketAddr)> {
+        let balancers = 0..self.deployment.balancers;
+        let mut daemons: Vec<(String, SocketAddr)> = balancers
+            .map(|index| {
+                let address = self.network.balancer_rpc(index);
+                (Deployment::balancer_name(index), address)
+            })
+            .collect();
+        daemons.extend(self.placements.iter().map(|placement| {
+            let address = self.network.agent_rpc(placement.index);
+            (format!("agent-{}", placement.target), address)
+        }));
+        daemons
+    }
+
     fn start_stand_ins(&mut self, programs: &Programs, options: &Options) -> Result<(), Error> {
         let platform = platform::Settings {
             address: self.network.store(),
@@ -174,8 +263,16 @@
     fn start_daemons(&mut self, programs: &Programs, options: &Options) -> Result<(), Error> {
         for index in 0..self.deployment.balancers {
             let settings = self.files(options).balancer(index)?;
-            let name = Deployment::balancer_name(index);
+            let name = match options.system {
+                System::Lavenderseam => Deployment::balancer_name(index),
+                System::Hashing => format!("control-{}", Deployment::balancer_name(index)),
+            };
             self.start_process(&name, programs.balancer(), settings_arguments(&settings))?;
+            if options.system == System::Hashing {
+                let settings = self.hashing_settings(index);
+                let name = Deployment::balancer_name(index);
+                self.start_stand_in(&name, "hashing", programs, options, &settings)?;
+            }
         }
         for placement in self.placements.clone() {
             let settings = self.files(options).agent(&placement)?;
@@ -233,7 +330,10 @@
             balancers: balancers
                 .map(|index| fabric::Balancer {
                     name: Deployment::balancer_name(index),
-                    address: self.network.balancer_fabric(index),
+                    address: match options.system {
+                        System::Lavenderseam => self.network.balancer_fabric(index),
+                        System::Hashing => self.network.hashing(index),
+                    },
                 })
                 .collect(),
             delay_in_us: self.deployment.delay_in_us,
@@ -242,6 +342,29 @@
         }
     }
 
+    fn hashing_settings(&self, index: usize) -> hashing::Settings {
+        let services = self.deployment.groups.iter().enumerate();
+        let target = |placement: &Placement| hashing::Target {
+            name: placement.target.clone(),
+            group: placement.group.name.to_owned(),
+            domain: placement.domain.to_owned(),
+            peer: self.network.agent_peer(placement.index),
+            backend: self.network.backend(placement.index),
+        };
+        hashing::Settings {
+            address: self.network.hashing(index),
+            key_file: self.credentials.key_file.clone(),
+            store: self.network.store(),
+            services: services
+                .map(|(index, group)| hashing::Service {
+                    address: self.network.service(index),
+                    group: group.name.to_owned(),
+                })
+                .collect(),
+            targets: self.placements.iter().map(target).collect(),
+        }
+    }
+
     fn backend_settings(&self, placement: &Placement, options: &Options) -> backend::Settings {
         backend::Settings {
             target: placement.target.clone(),
@@ -254,10 +377,11 @@
             ramp_ms: options.ramp_ms,
             work_ms: options.work_ms,
             cold: false,
+            journal: self.journal(placement),
         }
     }
 
-    fn controls(&self) -> Vec<std::net::SocketAddr> {
+    fn controls(&self) -> Vec<SocketAddr> {
         let mut controls = vec![self.network.store_control(), self.network.fabric_control()];
         let backends = self.placements.iter();
         controls.extend(backends.map(|target| self.network.backend_control(target.index)));
--- a/crates/lavenderseam_bench/src/launcher/credentials.rs
+++ b/crates/lavenderseam_bench/src/launcher/credentials.rs
@@ -8,7 +8,7 @@
 use crate::Error;
 
 /// Name that callers verify.
-pub(crate) const SERVER_NAME: &str = "localhost";
+pub const SERVER_NAME: &str = "localhost";
 
 /// Files with keys and certificates.
 #[derive(Clone, Debug)]
--- a/crates/lavenderseam_bench/src/launcher/mod.rs
+++ b/crates/lavenderseam_bench/src/launcher/mod.rs
@@ -13,7 +13,8 @@
 mod readiness;
 mod records;
 
-pub use cluster::{Cluster, Options};
+pub use cluster::{Cluster, Options, System};
+pub use credentials::SERVER_NAME;
 pub use deployment::{Deployment, Group, Placement};
 pub use network::Network;
 pub use process::{Process, Signal};
--- a/crates/lavenderseam_bench/src/launcher/network.rs
+++ b/crates/lavenderseam_bench/src/launcher/network.rs
@@ -31,6 +31,8 @@
 const STORE: usize = 10;
 /// Last byte of the balancers' addresses, counted up.
 const BALANCER: usize = 20;
+/// Last byte of the addresses of the hashing baseline, counted up.
+const HASHING: usize = 40;
 /// Last byte of the targets' addresses, counted up.
 const TARGET: usize = 60;
 /// Blocks tried before giving up.
@@ -108,6 +110,12 @@
         self.at(BALANCER + index, FABRIC_PORT)
     }
 
+    /// Address at which a hashing baseline takes packets from the fabric.
+    #[must_use]
+    pub fn hashing(&self, index: usize) -> SocketAddr {
+        self.at(HASHING + index, FABRIC_PORT)
+    }
+
     /// Address of a balancer for sealed frames.
     #[must_use]
     pub fn balancer_peer(&self, index: usize) -> SocketAddr {
--- a/crates/lavenderseam_bench/src/lib.rs
+++ b/crates/lavenderseam_bench/src/lib.rs
@@ -5,7 +5,11 @@
 
 mod error;
 pub mod launcher;
+pub mod load;
 pub mod remote;
+pub mod report;
+pub mod run;
+pub mod schedule;
 pub mod standins;
 
 pub use error::Error;
--- /dev/null
+++ b/crates/lavenderseam_bench/src/run/mod.rs
@@ -0,0 +1,14 @@
+//! Runs an experiment: starts the deployment, loads it, injects the faults and measures.
+
+mod applied;
+mod configuration;
+mod injector;
+mod measure;
+mod operator;
+mod runner;
+mod sample;
+mod work;
+
+pub use applied::{Applied, Log};
+pub use operator::{Operator, Order};
+pub use runner::Runner;
--- a/crates/lavenderseam_bench/src/standins/backend/mod.rs
+++ b/crates/lavenderseam_bench/src/standins/backend/mod.rs
@@ -8,17 +8,20 @@
 mod capacity;
 pub mod content;
 mod fault;
+mod journal;
 mod report;
 mod routes;
 mod serve;
 
 use std::net::SocketAddr;
+use std::path::PathBuf;
 
 use serde::{Deserialize, Serialize};
 
 pub use capacity::{Admission, Capacity};
 pub use fault::{Fault, Lie};
-pub use report::{Report, Run};
+pub use journal::{Journal, Line};
+pub use report::Report;
 pub use serve::run;
 
 /// Settings of a backend server stand-in.
@@ -45,4 +48,6 @@
     pub work_ms: u64,
     /// Whether it starts cold.
     pub cold: bool,
+    /// File that its journal is appended to.
+    pub journal: PathBuf,
 }
--- a/crates/lavenderseam_bench/src/standins/backend/report.rs
+++ b/crates/lavenderseam_bench/src/standins/backend/report.rs
@@ -2,15 +2,6 @@
 
 use serde::{Deserialize, Serialize};
 
-/// One run of an edit.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Run {
-    /// The edit's id.
-    pub id: String,
-    /// When it ran, in milliseconds since the epoch.
-    pub at_ms: u64,
-}
-
 /// Counts of a backend server stand-in.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Report {
@@ -18,8 +9,8 @@
     pub target: String,
     /// Service that it serves.
     pub service: String,
-    /// Every run of an edit, in order.
-    pub runs: Vec<Run>,
+    /// Runs of edits.
+    pub runs: u64,
     /// Requests that ran.
     pub requests: u64,
     /// Requests shed before they ran.
@@ -38,8 +29,6 @@
     pub overload_peak: f64,
     /// When the last request or feed arrived, in milliseconds since the epoch.
     pub last_request_ms: u64,
-    /// Arrival times of requests and feeds, in milliseconds since the epoch.
-    pub arrivals_ms: Vec<u64>,
     /// Slots in use now.
     pub slots_in_use: u32,
 }
--- a/crates/lavenderseam_bench/src/standins/backend/routes.rs
+++ b/crates/lavenderseam_bench/src/standins/backend/routes.rs
@@ -10,15 +10,20 @@
 use axum::routing::{get, post};
 use axum::{Json, Router};
 use futures::stream;
-use http::{HeaderValue, Request, StatusCode, header};
+use http::{HeaderMap, HeaderValue, Request, StatusCode, header};
 use serde_json::json;
 
 use super::content;
 use super::fault::Lie;
 use super::serve::{Backend, Feed, Slot};
+use crate::standins::now_ms;
 
-/// Time between two events of a feed.
-const FEED_INTERVAL: Duration = Duration::from_millis(100);
+/// Time between two events of a feed, in milliseconds.
+const FEED_INTERVAL_MS: u64 = 100;
+/// Past events that a feed sends again.
+const REPLAY_LIMIT: u64 = 300;
+/// Names the last event that a caller has.
+const LAST_EVENT_ID: &str = "last-event-id";
 /// Largest file, in bytes.
 const FILE_LIMIT: usize = 64 << 20;
 /// Bytes of a file that are sent at a time.
@@ -101,14 +106,14 @@
     (headers, Body::from_stream(chunks)).into_response()
 }
 
-async fn feed(State(backend): State<Arc<Backend>>) -> Response {
+async fn feed(State(backend): State<Arc<Backend>>, headers: HeaderMap) -> Response {
     let Some(feed) = backend.open_feed() else {
         return StatusCode::SERVICE_UNAVAILABLE.into_response();
     };
-    let events = stream::unfold((feed, 0_u64), |(feed, sequence)| async move {
-        if sequence > 0 {
-            tokio::time::sleep(FEED_INTERVAL).await;
-        }
+    let first = first_event(&headers, now_ms());
+    let events = stream::unfold((feed, first), |(feed, sequence)| async move {
+        let due = sequence * FEED_INTERVAL_MS;
+        tokio::time::sleep(Duration::from_millis(due.saturating_sub(now_ms()))).await;
         let event = event(&feed, sequence);
         Some((Ok::<_, Infallible>(event), (feed, sequence + 1)))
     });
@@ -116,6 +121,18 @@
     (headers, Body::from_stream(events)).into_response()
 }
 
+/// The first event to send: the one after the last that the caller has, or the next one due.
+///
+/// Events are numbered by the time that they are due, so all backend servers number them alike.
+fn first_event(headers: &HeaderMap, now_ms: u64) -> u64 {
+    let next = now_ms / FEED_INTERVAL_MS + 1;
+    let last = headers.get(LAST_EVENT_ID);
+    let last = last.and_then(|value| value.to_str().ok()?.parse::<u64>().ok());
+    last.map_or(next, |last| {
+        (last + 1).clamp(next.saturating_sub(REPLAY_LIMIT), next)
+    })
+}
+
 fn event(feed: &Feed, sequence: u64) -> Bytes {
     let settings = &feed.backend.settings;
     let data = json!({
--- a/crates/lavenderseam_bench/src/standins/backend/serve.rs
+++ b/crates/lavenderseam_bench/src/standins/backend/serve.rs
@@ -21,7 +21,8 @@
 
 use super::capacity::{Admission, Capacity};
 use super::fault::{Fault, Lie};
-use super::report::{Report, Run};
+use super::journal::{Journal, Line};
+use super::report::Report;
 use super::{Settings, routes};
 use crate::Error;
 use crate::standins::{FAULT_PATH, REPORT_PATH, bind, now_ms};
@@ -32,6 +33,7 @@
     capacity: Mutex<Capacity>,
     report: Mutex<Report>,
     faults: Mutex<Faults>,
+    journal: Journal,
     connections: AtomicUsize,
     started: Instant,
 }
@@ -53,11 +55,14 @@
 }
 
 impl Backend {
-    fn new(settings: Settings) -> Self {
+    fn new(settings: Settings) -> Result<Self, Error> {
+        // A journal of an earlier run means that this is a restart, which is cold.
+        let starts_cold = settings.cold || settings.journal.exists();
+        let journal = Journal::open(&settings.journal)?;
         let cold = Duration::from_millis(settings.cold_ms);
         let ramp = Duration::from_millis(settings.ramp_ms);
         let mut capacity = Capacity::new(settings.slots, cold, ramp);
-        if settings.cold {
+        if starts_cold {
             capacity.turn_cold(Duration::ZERO);
         }
         let report = Report {
@@ -65,7 +70,7 @@
             service: settings.service.clone(),
             ..Report::default()
         };
-        Self {
+        Ok(Self {
             settings,
             capacity: Mutex::new(capacity),
             report: Mutex::new(report),
@@ -73,9 +78,10 @@
                 lie: Lie::None,
                 sheds: false,
             }),
+            journal,
             connections: AtomicUsize::new(0),
             started: Instant::now(),
-        }
+        })
     }
 
     /// Takes a slot, or none if the request is shed.
@@ -84,19 +90,33 @@
         let (admission, generation) = if self.sheds() {
             (Admission::Shed, 0)
         } else {
-            self.capacity.lock().admit(self.started.elapsed())
+            self.admit()
         };
         if admission != Admission::Run {
             self.report.lock().shed += 1;
             return None;
         }
         self.report.lock().requests += 1;
+        self.journal.note(&Line::Began(now_ms()));
         Some(Slot {
             backend: Arc::clone(self),
             generation,
         })
     }
 
+    fn admit(&self) -> (Admission, u64) {
+        let mut capacity = self.capacity.lock();
+        let peak = capacity.peak();
+        let decided = capacity.admit(self.started.elapsed());
+        if capacity.peak() > peak {
+            self.journal.note(&Line::Overload(capacity.peak()));
+        }
+        if decided.0 == Admission::FallOver {
+            self.journal.note(&Line::Fall(now_ms()));
+        }
+        decided
+    }
+
     pub(crate) fn open_feed(self: &Arc<Self>) -> Option<Feed> {
         self.arrived();
         if self.sheds() {
@@ -111,11 +131,11 @@
     }
 
     pub(crate) fn log_run(&self, id: &str) {
-        let run = Run {
+        self.report.lock().runs += 1;
+        self.journal.note(&Line::Run {
             id: id.to_owned(),
             at_ms: now_ms(),
-        };
-        self.report.lock().runs.push(run);
+        });
     }
 
     /// Takes as long as a request takes.
@@ -139,7 +159,8 @@
         let now = now_ms();
         let mut report = self.report.lock();
         report.last_request_ms = now;
-        report.arrivals_ms.push(now);
+        drop(report);
+        self.journal.note(&Line::Arrival(now));
     }
 
     fn set(&self, fault: Fault) {
@@ -187,7 +208,7 @@
 pub async fn run(settings: Settings) -> Result<(), Error> {
     let listener = bind(settings.address).await?;
     let control = bind(settings.control).await?;
-    let backend = Arc::new(Backend::new(settings));
+    let backend = Arc::new(Backend::new(settings)?);
     tokio::spawn(serve_control(control, Arc::clone(&backend)));
     let router = routes::router(Arc::clone(&backend));
     loop {
--- a/crates/lavenderseam_bench/src/standins/mod.rs
+++ b/crates/lavenderseam_bench/src/standins/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod backend;
 pub mod fabric;
+pub mod hashing;
 pub mod platform;
 
 mod settings;
