--- /dev/null
+++ b/crates/lavenderseam_core/benches/flow.rs
@@ -0,0 +1,169 @@
+//! Decisions for established flows beside a bare look-up in a hash table of the same size.
+
+use std::collections::HashMap;
+use std::hint::black_box;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use criterion::{Criterion, criterion_group, criterion_main};
+use lavenderseam_core::catalog::{Catalog, Entry, Revision};
+use lavenderseam_core::flow::owner::{self, Arrival};
+use lavenderseam_core::flow::{Hint, Key, Kind, Owner, Packet, Router, Token, router};
+use lavenderseam_core::id::{self, Incarnation, Tag};
+use lavenderseam_core::record::{self, Document, Phase, Record, Schema, Slots};
+use lavenderseam_core::time::Instant;
+use lavenderseam_core::view::View;
+
+/// Flows held.
+const FLOWS: u32 = 300_000;
+const TARGETS: u16 = 7;
+/// Step through the flows that visits them all, far from each other.
+const STRIDE: u32 = 179_424_673 % FLOWS;
+
+fn service() -> SocketAddr {
+    SocketAddr::from(([192, 0, 2, 1], 443))
+}
+
+fn name<T>(made: Result<T, id::Error>) -> T {
+    made.unwrap_or_else(|error| panic!("{error}"))
+}
+
+fn target(index: u16) -> id::Target {
+    name(id::Target::new(&format!("target-{index}")))
+}
+
+fn tag(index: u32) -> Tag {
+    let index = u16::try_from(index % u32::from(TARGETS)).unwrap_or_default();
+    Tag::new(&target(index))
+}
+
+fn view() -> View {
+    let mut catalog = Catalog::default();
+    let mut put = |name: &str, document: Document| {
+        let document = Document {
+            name: name.to_owned(),
+            ..document
+        };
+        let revision = Revision(catalog.head().0 + 1);
+        catalog.apply(Entry::with_document(revision, document));
+    };
+    let group = name(id::Group::new("group"));
+    let bears = record::Group {
+        slots: Slots(4),
+        connections: 2_000,
+        cold_slots: Slots(1),
+        drain: Duration::from_secs(30),
+    };
+    put("group", document(&bears));
+    let addresses = vec![service()];
+    let of = group.clone();
+    put(
+        "service",
+        document(&record::Service {
+            addresses,
+            group: of,
+        }),
+    );
+    for index in 0..TARGETS {
+        let peer = SocketAddr::from(([127, 0, 0, 1], 7_000 + index));
+        let announced = record::Target {
+            group: group.clone(),
+            domain: name(id::Domain::new("domain")),
+            region: name(id::Region::new("region")),
+            peer,
+            rpc: peer,
+            incarnation: Incarnation(1),
+            phase: Phase::Serving,
+        };
+        put(target(index).as_str(), document(&announced));
+    }
+    View::new(&catalog)
+}
+
+fn document<R: Record>(record: &R) -> Document {
+    let mut document = Document::new(R::KIND, "", Schema(1));
+    record.write(&mut document);
+    document
+}
+
+fn flows() -> Vec<Key> {
+    (0..FLOWS)
+        .map(|index| {
+            let caller = SocketAddr::from((index.to_be_bytes(), 4_000));
+            Key::new(1, caller, service())
+        })
+        .collect()
+}
+
+fn packet(flow: Key, token: Option<Token>) -> Packet {
+    Packet {
+        flow,
+        service: service(),
+        kind: Kind::Continuing,
+        token,
+    }
+}
+
+fn decisions(criterion: &mut Criterion) {
+    let view = view();
+    let flows = flows();
+    let now = Instant::default() + Duration::from_secs(1);
+    let mut cursor = 0;
+    let mut next = move || {
+        cursor = (cursor + STRIDE) % FLOWS;
+        cursor as usize
+    };
+    let tags: Vec<Tag> = (0..FLOWS).map(tag).collect();
+
+    let table: HashMap<Key, Tag> = flows.iter().copied().zip(tags.iter().copied()).collect();
+    criterion.bench_function("bare hash table", |bencher| {
+        bencher.iter(|| black_box(table.get(&flows[next()])));
+    });
+
+    let router = Router::<router::System>::default();
+    for (flow, owner) in flows.iter().zip(&tags) {
+        let hint = Hint {
+            flow: *flow,
+            owner: *owner,
+            established: true,
+            flows: 1,
+        };
+        router.hint(&hint, &view, now);
+    }
+    println!("{} of {FLOWS} flows cached", router.cached());
+    criterion.bench_function("balancer, cached flow", |bencher| {
+        bencher.iter(|| black_box(router.packet(&packet(flows[next()], None), &view, now)));
+    });
+    criterion.bench_function("balancer, token", |bencher| {
+        bencher.iter(|| {
+            let index = next();
+            let token = Token {
+                owner: tags[index],
+                nonce: 1,
+            };
+            black_box(router.packet(&packet(flows[index], Some(token)), &view, now))
+        });
+    });
+
+    let settings = owner::Settings {
+        limit: FLOWS as usize,
+        ..owner::Settings::default()
+    };
+    let group = name(id::Group::new("group"));
+    let domain = name(id::Domain::new("domain"));
+    let mut owner = Owner::with_settings(tag(0), group, domain, settings);
+    flows.iter().for_each(|flow| owner.established(*flow, now));
+    criterion.bench_function("agent, own flow", |bencher| {
+        bencher.iter(|| {
+            let arrival = Arrival {
+                packet: packet(flows[next()], None),
+                trail: &[],
+                revision: view.revision(),
+            };
+            black_box(owner.arrival(&arrival, &view, now, true))
+        });
+    });
+}
+
+criterion_group!(benches, decisions);
+criterion_main!(benches);
