--- a/crates/lavenderseam_agent/src/plugin.rs
+++ b/crates/lavenderseam_agent/src/plugin.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use lavenderseam_app::{App, Error, Plugin};
-use lavenderseam_control::{Announcement, Gate, Identity, Methods, Views};
+use lavenderseam_control::{Announcement, Gate, Identity, Methods, Remote, Views};
 use lavenderseam_core::admission::Bounds;
 use lavenderseam_core::flow::Owner;
 use lavenderseam_core::id::Tag;
@@ -77,7 +77,7 @@
             backend: Backend::new(self.settings.backend),
             gauge: Arc::clone(&gauge),
             ledger: Arc::clone(&ledger),
-            inquirer: Inquirer::new(&identity.key, Arc::clone(&views)),
+            inquirer: Inquirer::new(app.resource::<Remote>()?, Arc::clone(&views)),
             flows: Arc::new(flows),
             stage: watch::Sender::new(Stage::Serving),
             metrics: app.resource::<Metrics>()?,
@@ -92,9 +92,7 @@
         ));
         endpoints.check().map_err(failed)?;
         let methods = app.resource::<Methods>()?;
-        if let Some(module) = remote::module(&identity.key, ledger) {
-            methods.register(module);
-        }
+        methods.register(remote::module(&identity.key, ledger).map_err(failed)?);
         let peer = Peer {
             socket: bind(identity.peer).map_err(failed)?,
             key: identity.key.derive("frames"),
--- a/crates/lavenderseam_agent/tests/cluster/agent.rs
+++ b/crates/lavenderseam_agent/tests/cluster/agent.rs
@@ -4,8 +4,8 @@
 use std::sync::Arc;
 
 use lavenderseam_agent::{AgentPlugin, Settings};
-use lavenderseam_app::{App, Stopper};
-use lavenderseam_control::{Announcement, Gate, Identity, Methods, Role, Views};
+use lavenderseam_app::{App, Shutdown, Stopper};
+use lavenderseam_control::{Announcement, Gate, Identity, Methods, Remote, Role, Views};
 use lavenderseam_core::catalog::{Catalog, Entry, Revision};
 use lavenderseam_core::id::{self, Incarnation, Tag};
 use lavenderseam_core::record::{self, Document, DomainState, Kind, Phase, Record, Schema, Slots};
@@ -76,7 +76,9 @@
         };
         app.insert(identity);
         let views = app.insert(Views::new());
-        app.insert(Gate::default()).set(true);
+        let gate = app.insert(Gate::default());
+        app.spawn("gate", renew(gate, app.shutdown()));
+        app.insert(Remote::new(&cluster.key));
         let methods = app.insert(Methods::default());
         let announcement = app.insert(Announcement::new());
         app.insert(Metrics::new("test"));
@@ -175,6 +177,15 @@
     }
 }
 
+/// Keeps the gate open until the app halts.
+async fn renew(gate: Arc<Gate>, mut shutdown: Shutdown) {
+    while shutdown.phase() != lavenderseam_app::Phase::Halted {
+        gate.set(true);
+        let pause = std::time::Duration::from_millis(100);
+        let _ = tokio::time::timeout(pause, shutdown.halted()).await;
+    }
+}
+
 fn document(kind: Kind, name: &str, record: &impl Record) -> Document {
     let schema = match kind {
         Kind::Service | Kind::BackendGroup | Kind::FailureDomain => Schema(2),
