--- a/crates/lavenderseam_control/src/plugin.rs
+++ b/crates/lavenderseam_control/src/plugin.rs
@@ -27,10 +27,11 @@
 const TICK: Duration = Duration::from_millis(250);
 
 /// Records, membership and liveness of one process.
-pub struct ControlPlugin {
+pub struct ControlPlugin<S = Client> {
     settings: Settings,
     role: Role,
     metrics: Metrics,
+    store: S,
 }
 
 impl ControlPlugin {
@@ -38,11 +39,25 @@
     #[must_use]
     pub fn new(settings: Settings, role: Role) -> Self {
         Self {
+            store: Client::new(settings.store),
             settings,
             role,
             metrics: Metrics::new("lavenderseam"),
         }
     }
+}
+
+impl<S> ControlPlugin<S> {
+    /// Uses another store than the platform's HTTP API.
+    #[must_use]
+    pub fn with_store<T>(self, store: T) -> ControlPlugin<T> {
+        ControlPlugin {
+            settings: self.settings,
+            role: self.role,
+            metrics: self.metrics,
+            store,
+        }
+    }
 
     /// Sends metrics of all plugins there; nowhere unless set.
     #[must_use]
@@ -94,7 +109,7 @@
     }
 }
 
-impl Plugin for ControlPlugin {
+impl<S: Store + Clone> Plugin for ControlPlugin<S> {
     fn build(&self, app: &mut App) -> Result<(), Error> {
         let listener = self.listen()?;
         let identity = app.insert(self.identity()?);
@@ -109,7 +124,7 @@
             Role::Agent { .. } => None,
         };
         let shared = Arc::new(Shared {
-            store: Client::new(self.settings.store),
+            store: self.store.clone(),
             clock,
             relay: Mutex::new(Relay { node, pauses: 0 }),
             changes,
--- a/crates/lavenderseam_control/src/probe.rs
+++ b/crates/lavenderseam_control/src/probe.rs
@@ -21,6 +21,8 @@
 
 /// Time between two looks at what is due.
 const TICK: Duration = Duration::from_millis(250);
+/// Longest time that a planned stop waits for the store.
+const STOP_LIMIT: Duration = Duration::from_secs(3);
 /// Longest datagram that is read, in bytes.
 const DATAGRAM_LIMIT: usize = 2048;
 /// A write of a verdict is tried once more after a conflict; the next tick tries again.
@@ -76,8 +78,10 @@
     let left = write::update(&probes.shared.store, &probes.verdict, POLICY, |_| {
         Change::Delete
     });
-    if let Err(error) = left.await {
-        log.warn(format_args!("can't delete the verdict: {error}"));
+    match tokio::time::timeout(STOP_LIMIT, left).await {
+        Ok(Ok(_)) => {}
+        Ok(Err(error)) => log.warn(format_args!("can't delete the verdict: {error}")),
+        Err(_) => log.warn("the store didn't delete the verdict in time"),
     }
 }
 
--- /dev/null
+++ b/crates/lavenderseam_control/tests/control.rs
@@ -0,0 +1,307 @@
+//! The control plane of several processes over loopback, with a store in memory.
+
+#![allow(clippy::unwrap_used, reason = "helpers of tests")]
+
+use std::collections::BTreeMap;
+use std::net::{SocketAddr, TcpListener};
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::Duration;
+
+use googletest::prelude::*;
+use jsonrpsee::core::client::ClientT;
+use jsonrpsee::http_client::HttpClientBuilder;
+use lavenderseam_app::{App, Stopper};
+use lavenderseam_control::{Announcement, ControlPlugin, Gate, Role, Settings, Status, Views};
+use lavenderseam_core::id;
+use lavenderseam_core::record::{
+    Balancer, Document, Domain, DomainState, Id, Kind, Phase, Record, Schema, Target,
+};
+use lavenderseam_platform::fake::{Fake, Faults};
+use lavenderseam_platform::write::{Change, Policy, update};
+use lavenderseam_platform::{Condition, Store};
+use tokio::task::JoinHandle;
+
+const LIMIT: Duration = Duration::from_secs(30);
+
+struct Process {
+    rpc: SocketAddr,
+    views: Arc<Views>,
+    gate: Arc<Gate>,
+    announcement: Arc<Announcement>,
+    stopper: Stopper,
+    run: JoinHandle<()>,
+}
+
+fn key_file() -> PathBuf {
+    let path = std::env::temp_dir().join(format!("lavenderseam-key-{}", std::process::id()));
+    std::fs::write(&path, "ab".repeat(32)).unwrap();
+    path
+}
+
+fn free_address() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    listener.local_addr().unwrap()
+}
+
+fn balancer(name: &str) -> Role {
+    Role::Balancer(id::Balancer::new(name).unwrap())
+}
+
+fn agent(name: &str) -> Role {
+    Role::Agent {
+        target: id::Target::new(name).unwrap(),
+        group: id::Group::new("trail-status").unwrap(),
+    }
+}
+
+fn start(store: &Arc<Fake>, role: Role, seeds: Vec<SocketAddr>) -> Process {
+    let rpc = free_address();
+    let settings = Settings {
+        domain: id::Domain::new("tariat").unwrap(),
+        region: id::Region::new("khangai").unwrap(),
+        peer: rpc,
+        rpc,
+        store: rpc,
+        key_file: key_file(),
+        seeds,
+    };
+    let plugin = ControlPlugin::new(settings, role).with_store(Arc::clone(store));
+    let mut app = App::new();
+    app.add(&plugin).unwrap();
+    Process {
+        rpc,
+        views: app.resource().unwrap(),
+        gate: app.resource().unwrap(),
+        announcement: app.resource().unwrap(),
+        stopper: app.stopper(),
+        run: tokio::spawn(async move { app.run().await.unwrap() }),
+    }
+}
+
+async fn until(what: &str, holds: impl AsyncFn() -> bool) {
+    let wait = async {
+        while !holds().await {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    assert!(
+        tokio::time::timeout(LIMIT, wait).await.is_ok(),
+        "not in time: {what}"
+    );
+}
+
+async fn status(process: &Process) -> Status {
+    let client = HttpClientBuilder::default()
+        .build(format!("http://{}", process.rpc))
+        .unwrap();
+    client
+        .request("status", jsonrpsee::core::params::ArrayParams::new())
+        .await
+        .unwrap()
+}
+
+async fn read<R: Record>(store: &Fake, name: &str) -> Option<R> {
+    let entry = store.get(&Id::new(R::KIND, name)).await.unwrap()?;
+    R::read(&entry.document?).ok()
+}
+
+async fn set_domain(store: &Fake, state: DomainState) {
+    let id = Id::new(Kind::FailureDomain, "tariat");
+    let change = |held: Option<&lavenderseam_core::catalog::Entry>| {
+        let held = held.and_then(|entry| entry.document.clone());
+        let mut document = held.unwrap_or_else(|| Document::new(id.kind, &id.name, Schema(1)));
+        Domain {
+            state,
+            reason: None,
+        }
+        .write(&mut document);
+        Change::Put(document)
+    };
+    update(store, &id, Policy::default(), change).await.unwrap();
+}
+
+fn is_out(process: &Process) -> bool {
+    process
+        .views
+        .present()
+        .is_out(&id::Domain::new("tariat").unwrap())
+}
+
+/// Three balancers and three agents that all know each other.
+async fn fleet(store: &Arc<Fake>) -> Vec<Process> {
+    let balancers = (0..3).map(|index| balancer(&format!("balancer-{index}")));
+    let agents = (0..3).map(|index| agent(&format!("target-{index}")));
+    let roles = balancers.chain(agents);
+    let processes: Vec<Process> = roles.map(|role| start(store, role, Vec::new())).collect();
+    for process in &processes {
+        until("the fleet starts", async || {
+            let status = status(process).await;
+            let kinds = ["Balancer", "Target"]
+                .map(|kind| status.records.get(kind).map_or(0, BTreeMap::len));
+            process.gate.is_open() && kinds == [3, 3]
+        })
+        .await;
+    }
+    processes
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_change_reaches_every_process_also_while_the_store_then_goes_away() {
+    let store = Arc::new(Fake::new());
+    let processes = fleet(&store).await;
+    set_domain(&store, DomainState::Out).await;
+    for process in &processes {
+        until("the domain is out", async || is_out(process)).await;
+    }
+    store.set(Faults {
+        away: true,
+        ..Faults::default()
+    });
+    let joined = start(&store, balancer("balancer-9"), vec![processes[4].rpc]);
+    until("the new process starts from its peer", async || {
+        joined.gate.is_open() && is_out(&joined)
+    })
+    .await;
+    let digests = [
+        status(&joined).await.digest,
+        status(&processes[0]).await.digest,
+    ];
+    assert_that!(digests[0], eq(digests[1]));
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_planned_stop_is_announced_and_then_forgotten() {
+    let store = Arc::new(Fake::new());
+    let processes = fleet(&store).await;
+    processes[3].announcement.set(Phase::Leaving);
+    until("the phase is in the store", async || {
+        let target: Option<Target> = read(&store, "target-0").await;
+        target.is_some_and(|target| target.phase == Phase::Leaving)
+    })
+    .await;
+    until("the phase is in every view", async || {
+        let tag = id::Tag::new(&id::Target::new("target-0").unwrap());
+        processes.iter().all(|process| {
+            let view = process.views.present();
+            view.target(tag).is_some_and(|target| !target.takes_flows())
+        })
+    })
+    .await;
+    for stopped in [0, 3] {
+        processes[stopped].stopper.stop();
+    }
+    until("the stopped processes end", async || {
+        processes[0].run.is_finished() && processes[3].run.is_finished()
+    })
+    .await;
+    assert_that!(read::<Balancer>(&store, "balancer-0").await, none());
+    assert_that!(read::<Target>(&store, "target-0").await, none());
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn an_announcement_waits_for_the_store_and_a_lost_answer_is_settled() {
+    let store = Arc::new(Fake::new());
+    store.set(Faults {
+        away: true,
+        ..Faults::default()
+    });
+    let process = start(&store, balancer("balancer-0"), Vec::new());
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    assert_that!(process.gate.is_open(), eq(false));
+    store.set(Faults {
+        lost_answers: 1,
+        ..Faults::default()
+    });
+    until("the process is announced", async || {
+        read::<Balancer>(&store, "balancer-0").await.is_some()
+    })
+    .await;
+    until("the gate opens", async || process.gate.is_open()).await;
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_new_run_takes_the_record_over_and_an_old_one_leaves_it_alone() {
+    let store = Arc::new(Fake::new());
+    let old = start(&store, agent("target-0"), Vec::new());
+    until("the first run is announced", async || {
+        read::<Target>(&store, "target-0").await.is_some()
+    })
+    .await;
+    let first = read::<Target>(&store, "target-0")
+        .await
+        .unwrap()
+        .incarnation;
+    let _new = start(&store, agent("target-0"), Vec::new());
+    until("the second run takes over", async || {
+        read::<Target>(&store, "target-0")
+            .await
+            .unwrap()
+            .incarnation
+            != first
+    })
+    .await;
+    old.announcement.set(Phase::Leaving);
+    old.stopper.stop();
+    until("the first run ends", async || old.run.is_finished()).await;
+    let held = read::<Target>(&store, "target-0").await.unwrap();
+    assert_that!(held.phase, eq(Phase::Serving));
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_record_that_someone_deleted_is_announced_anew() {
+    let store = Arc::new(Fake::new());
+    let _process = start(&store, agent("target-0"), Vec::new());
+    let id = Id::new(Kind::Target, "target-0");
+    until("the process is announced", async || {
+        store.get(&id).await.unwrap().is_some()
+    })
+    .await;
+    let held = store.get(&id).await.unwrap().unwrap();
+    store.delete(&id, held.revision).await.unwrap();
+    until("it is announced anew", async || {
+        store.get(&id).await.unwrap().is_some()
+    })
+    .await;
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn unknown_fields_of_the_own_record_survive() {
+    let store = Arc::new(Fake::new());
+    let mut document = Document::new(Kind::Target, "target-0", Schema(1));
+    document.spec.insert("note".to_owned(), "kept".into());
+    store.put(&document, Condition::Absent).await.unwrap();
+    let _process = start(&store, agent("target-0"), Vec::new());
+    until("the process is announced", async || {
+        read::<Target>(&store, "target-0").await.is_some()
+    })
+    .await;
+    let held = store.get(&document.id()).await.unwrap().unwrap();
+    assert_that!(
+        held.document.unwrap().spec["note"].as_str(),
+        some(eq("kept"))
+    );
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_call_without_the_key_is_refused() {
+    let store = Arc::new(Fake::new());
+    let process = start(&store, balancer("balancer-0"), Vec::new());
+    let other = lavenderseam_control::Remote::new(&lavenderseam_wire::Key::new([1; 32]));
+    let nothing = serde_json::json!({});
+    until("the process serves", async || {
+        let call = other.call::<_, serde_json::Value>(process.rpc, "pull_records", &nothing);
+        matches!(
+            call.await,
+            Err(lavenderseam_control::remote::Error::Refused(-32001))
+        )
+    })
+    .await;
+}
--- a/crates/lavenderseam_platform/src/store.rs
+++ b/crates/lavenderseam_platform/src/store.rs
@@ -1,6 +1,7 @@
 //! What the system needs of the platform's object API.
 
 use std::future::Future;
+use std::sync::Arc;
 use std::time::Duration;
 
 use lavenderseam_core::catalog::{Entry, Revision};
@@ -55,3 +56,25 @@
         wait: Duration,
     ) -> impl Future<Output = Result<List, Error>> + Send;
 }
+
+impl<S: Store> Store for Arc<S> {
+    async fn get(&self, id: &Id) -> Result<Option<Entry>, Error> {
+        self.as_ref().get(id).await
+    }
+
+    async fn list(&self) -> Result<List, Error> {
+        self.as_ref().list().await
+    }
+
+    async fn put(&self, document: &Document, condition: Condition) -> Result<Revision, Error> {
+        self.as_ref().put(document, condition).await
+    }
+
+    async fn delete(&self, id: &Id, held: Revision) -> Result<Revision, Error> {
+        self.as_ref().delete(id, held).await
+    }
+
+    async fn watch(&self, after: Revision, wait: Duration) -> Result<List, Error> {
+        self.as_ref().watch(after, wait).await
+    }
+}
--- a/crates/lavenderseam_platform/src/write.rs
+++ b/crates/lavenderseam_platform/src/write.rs
@@ -4,6 +4,10 @@
 //! When another writer was faster, the change is decided anew. When the answer to a write is lost,
 //! the record is read back: the token drawn for the write tells whether it took effect. The same
 //! write may be sent again under the same condition, so it takes effect at most once.
+//!
+//! When another write came between a lost answer and the reading back, nobody can tell whether the
+//! first one took effect before it. The change is then decided anew on what is there, so a change
+//! must name the content it wants and not add to what it finds.
 
 use std::time::Duration;
 
