--- a/crates/lavenderseam_bench/src/commands/mod.rs
+++ b/crates/lavenderseam_bench/src/commands/mod.rs
@@ -4,6 +4,7 @@
 mod mixed;
 mod report;
 mod run;
+mod slope;
 mod stand_in;
 mod up;
 
@@ -21,6 +22,7 @@
     Ci(catalogue::Ci),
     Mixed(mixed::Mixed),
     Report(report::Report),
+    Slope(slope::Slope),
     Up(up::Up),
     Fabric(stand_in::Fabric),
     Platform(stand_in::Platform),
@@ -37,6 +39,7 @@
             Self::Ci(ci) => ci.execute().await,
             Self::Mixed(mixed) => mixed.execute().await,
             Self::Report(report) => report.execute(),
+            Self::Slope(slope) => slope.execute(),
             Self::Up(up) => up.execute().await,
             Self::Fabric(fabric) => fabric.execute().await,
             Self::Platform(platform) => platform.execute().await,
--- a/crates/lavenderseam_bench/src/lib.rs
+++ b/crates/lavenderseam_bench/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod report;
 pub mod run;
 pub mod schedule;
+pub mod slope;
 pub mod standins;
 
 pub use error::Error;
--- /dev/null
+++ b/crates/lavenderseam_bench/src/slope/memory.rs
@@ -0,0 +1,125 @@
+//! Memory against what is held.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use lavenderseam_core::catalog::Entry;
+use lavenderseam_core::flow::router::{Router, Settings};
+use lavenderseam_core::flow::{Hint, Key};
+use lavenderseam_core::id::Tag;
+use lavenderseam_core::liveness::Assignment;
+use lavenderseam_core::record::Kind;
+use lavenderseam_core::relay::{Event, Member, MemberId, Node};
+use lavenderseam_core::time::Instant;
+use lavenderseam_core::view::{Compiler, View};
+
+use super::Report;
+use super::sample::{TARGETS, catalog, documents, entries, resident};
+
+/// Memory of what a process holds, against targets with everything else in proportion. What was
+/// built for one size stays, so that no size reuses memory of another.
+pub(crate) fn memory(seed: u64) -> Report {
+    let columns = [
+        "catalog MB",
+        "compiler and view MB",
+        "relay MB",
+        "probes MB",
+        "B a target",
+        "B a service",
+        "B a member",
+    ];
+    let mut report = Report::new("memory", seed, "targets", &columns);
+    for share in [16, 8, 4, 2, 1] {
+        let entries = entries(documents(TARGETS / share));
+        let [target, service, member] = [Kind::Target, Kind::Service, Kind::Balancer].map(|kind| {
+            let of_kind: Vec<Entry> = entries
+                .iter()
+                .filter(|entry| entry.id.kind == kind)
+                .cloned()
+                .collect();
+            let count = of_kind.len() as f64;
+            held(|| catalog(&of_kind)) / count
+        });
+        let catalog = held(|| catalog(&entries));
+        let compiler = held(|| {
+            let mut compiler = Compiler::default();
+            entries.iter().for_each(|entry| compiler.apply(entry));
+            let view = compiler.compile();
+            (compiler, view)
+        });
+        let relay = held(|| node(seed, &entries)) - catalog;
+        let probes = held(|| {
+            let own = entries
+                .first()
+                .map_or(MemberId(0), |entry| MemberId::new(&entry.id));
+            let mut assignment = Assignment::new(own);
+            for entry in &entries {
+                assignment.apply(entry);
+            }
+            assignment.assigned();
+            assignment
+        });
+        let megabytes = [catalog, compiler, relay, probes].map(|bytes| bytes / 1e6);
+        report.add(
+            TARGETS / share,
+            [&megabytes[..], &[target, service, member]].concat(),
+        );
+        std::mem::forget(entries);
+    }
+    report
+}
+
+fn node(seed: u64, entries: &[Entry]) -> Option<Node> {
+    let own = entries.first().and_then(Member::new)?;
+    let now = Instant(1_000_000);
+    let mut node = Node::new(own, Vec::new(), seed, now);
+    // In parts, so that no copy of the whole is made on the way.
+    for part in entries.chunks(512) {
+        let event = Event::Watched {
+            asked: now,
+            entries: part.to_vec(),
+            revision: part.last().map(|entry| entry.revision).unwrap_or_default(),
+        };
+        node.handle(event, now);
+    }
+    node.handle(Event::Tick, now);
+    Some(node)
+}
+
+/// Resident memory that a value takes, in bytes; the value stays.
+fn held<T>(build: impl FnOnce() -> T) -> f64 {
+    let before = resident();
+    std::mem::forget(build());
+    resident() - before
+}
+
+/// Memory of a balancer's cache against flows.
+pub(crate) fn flows(seed: u64) -> Report {
+    let columns = ["cache MB", "B a flow"];
+    let mut report = Report::new("flows", seed, "flows", &columns);
+    for count in [50_000_usize, 100_000, 200_000, 400_000, 800_000] {
+        let bytes = held(|| {
+            let settings = Settings {
+                shards: 16,
+                capacity: count,
+                silence: Duration::from_secs(3),
+            };
+            let router: Router = Router::new(settings);
+            let service = SocketAddr::from(([203, 0, 113, 1], 443));
+            for index in 0..count {
+                let [.., a, b, c] = (index as u32).to_be_bytes();
+                let caller = SocketAddr::from(([198, a, b, c], 5000));
+                let hint = Hint {
+                    flow: Key::new(seed, caller, service),
+                    owner: Tag(index as u64 % 7),
+                    established: true,
+                    flows: 1,
+                };
+                router.hint(&hint, &View::default(), Instant(1_000_000));
+            }
+            router
+        });
+        report.add(count, vec![bytes / 1e6, bytes / count as f64]);
+    }
+    report
+}
