--- a/crates/lavenderseam_agent/src/flows.rs
+++ b/crates/lavenderseam_agent/src/flows.rs
@@ -59,15 +59,16 @@
 
     /// Decides a forwarded packet.
     pub(crate) fn arrival(&self, arrival: &Arrival<'_>, view: &View, draining: bool) -> Decision {
-        let admits = self.admits(draining);
+        let admits = self.admits(draining, arrival.trail.len());
         let now = self.clock.now();
         self.owner.lock().arrival(arrival, view, now, admits)
     }
 
-    /// Whether another flow may be opened.
-    pub(crate) fn admits(&self, draining: bool) -> bool {
+    /// Whether another flow, which `passes` targets have passed on, may be opened.
+    pub(crate) fn admits(&self, draining: bool, passes: usize) -> bool {
         let opener = Opener {
             connections: self.connections(),
+            passes,
             draining,
             // The owner drops packets of a failure domain that is out.
             domain_out: false,
--- a/crates/lavenderseam_agent/src/lib.rs
+++ b/crates/lavenderseam_agent/src/lib.rs
@@ -15,6 +15,7 @@
 mod peer;
 mod plugin;
 mod probe;
+mod reload;
 mod remote;
 mod server;
 mod settings;
--- a/crates/lavenderseam_agent/src/peer.rs
+++ b/crates/lavenderseam_agent/src/peer.rs
@@ -75,10 +75,7 @@
         }
         match decision.action {
             Action::Deliver { .. } | Action::Reset => self.deliver(forward, payload),
-            Action::Refuse => {
-                self.server.flows.refuse(forward.caller, forward.service);
-                self.deliver(forward, payload);
-            }
+            Action::Refuse => self.refuse(forward, payload),
             Action::Pass {
                 peer,
                 trail,
@@ -96,6 +93,16 @@
         }
     }
 
+    /// Takes an opener that no target admits, so that its requests are told when to come back, or
+    /// has the transport refuse it if not even its connection can be borne.
+    fn refuse(&self, forward: &Forward, payload: &[u8]) {
+        let flows = &self.server.flows;
+        if !flows.admits(self.draining(), usize::MAX) {
+            flows.refuse(forward.caller, forward.service);
+        }
+        self.deliver(forward, payload);
+    }
+
     /// Hands a packet to the transport, which resets connections that it doesn't know.
     fn deliver(&self, forward: &Forward, payload: &[u8]) {
         let service = forward.service;
@@ -131,7 +138,7 @@
             nonce: probe.nonce,
             target: self.target,
             incarnation: self.incarnation,
-            admits: self.server.flows.admits(self.draining()),
+            admits: self.server.flows.admits(self.draining(), 0),
             flows: self.server.flows.held(),
         };
         self.send(&Frame::new(Body::Echo(echo)), source, out);
--- a/crates/lavenderseam_agent/src/plugin.rs
+++ b/crates/lavenderseam_agent/src/plugin.rs
@@ -21,6 +21,7 @@
 use crate::ledger::Ledger;
 use crate::peer::Peer;
 use crate::probe::Prober;
+use crate::reload;
 use crate::remote::{self, Inquirer};
 use crate::server::{Server, Stage};
 use crate::stage::Follower;
@@ -138,28 +139,12 @@
     let mut halt = app.shutdown();
     app.spawn("certificate reload", async move {
         tokio::select! {
-            () = reload(&endpoints) => {}
+            () = reload::run(&endpoints) => {}
             () = halt.halted() => {}
         }
     });
 }
 
-/// Reads the certificate again on SIGHUP.
-async fn reload(endpoints: &Endpoints) {
-    use tokio::signal::unix::{SignalKind, signal};
-    let log = Log::new(PART);
-    let Ok(mut hangup) = signal(SignalKind::hangup()) else {
-        log.warn("SIGHUP can't be caught; the certificate is never read again");
-        return std::future::pending().await;
-    };
-    while hangup.recv().await.is_some() {
-        match endpoints.reload() {
-            Ok(()) => log.info("certificate has been read again"),
-            Err(error) => log.error(format_args!("certificate stays as it was: {error}")),
-        }
-    }
-}
-
 fn bind(address: SocketAddr) -> std::io::Result<UdpSocket> {
     let socket = socket2::Socket::new(
         socket2::Domain::for_address(address),
--- a/crates/lavenderseam_agent/src/transport/endpoint.rs
+++ b/crates/lavenderseam_agent/src/transport/endpoint.rs
@@ -67,6 +67,11 @@
         }
     }
 
+    /// The certificate's files.
+    pub(crate) fn certificate(&self) -> &Certificate {
+        &self.certificate
+    }
+
     /// Fails if the certificate can't be used.
     pub(crate) fn check(&self) -> Result<(), Error> {
         self.certificate.load().map(|_| ()).map_err(Error::Tls)
--- a/crates/lavenderseam_agent/src/transport/tls.rs
+++ b/crates/lavenderseam_agent/src/transport/tls.rs
@@ -3,6 +3,7 @@
 use std::fmt;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
+use std::time::SystemTime;
 
 use quinn::crypto::rustls::{NoInitialCipherSuite, QuicServerConfig};
 use rustls_pki_types::pem::{self, PemObject};
@@ -30,6 +31,11 @@
 }
 
 impl Certificate {
+    /// When each file was last changed; none for one that can't be looked at.
+    pub(crate) fn modified(&self) -> [Option<SystemTime>; 2] {
+        [&self.chain, &self.private_key].map(|file| file.metadata().ok()?.modified().ok())
+    }
+
     /// Reads the files into a TLS 1.3 configuration without early data.
     pub(crate) fn load(&self) -> Result<QuicServerConfig, Error> {
         let chain = read_chain(&self.chain)?;
--- a/crates/lavenderseam_agent/tests/cluster/backend.rs
+++ b/crates/lavenderseam_agent/tests/cluster/backend.rs
@@ -13,8 +13,12 @@
 use axum::http::{HeaderMap, HeaderValue, StatusCode};
 use axum::response::{IntoResponse, Response};
 use axum::routing::{get, post};
+use hyper::server::conn::http1;
+use hyper_util::rt::TokioIo;
+use hyper_util::service::TowerToHyperService;
 use parking_lot::Mutex;
 use tokio::net::TcpListener;
+use tokio::sync::watch;
 use xxhash_rust::xxh3::xxh3_64;
 
 #[derive(Default)]
@@ -30,9 +34,27 @@
 pub struct Backend {
     pub address: SocketAddr,
     pub counts: Arc<Counts>,
+    halt: watch::Sender<bool>,
     task: tokio::task::JoinHandle<()>,
 }
 
+/// Serves until halted, then breaks off all connections.
+async fn serve(listener: TcpListener, router: Router, halted: watch::Receiver<bool>) {
+    let mut connections = tokio::task::JoinSet::new();
+    let mut halt = halted.clone();
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = halt.wait_for(|halt| *halt) => break,
+        };
+        let (stream, _) = accepted.unwrap();
+        let service = TowerToHyperService::new(router.clone());
+        let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+        connections.spawn(async move { connection.await.is_ok() });
+    }
+    connections.shutdown().await;
+}
+
 impl Backend {
     pub async fn start() -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
@@ -47,14 +69,22 @@
             .route("/feed", get(feed))
             .route("/shed", get(shed).post(shed))
             .with_state(Arc::clone(&counts));
-        let task = tokio::spawn(async move { axum::serve(listener, router).await.unwrap() });
+        let (halt, halted) = watch::channel(false);
+        let task = tokio::spawn(serve(listener, router, halted));
         Self {
             address,
             counts,
+            halt,
             task,
         }
     }
 
+    /// Ends the listener and all connections.
+    pub async fn stop(&self) {
+        let _ = self.halt.send(true);
+        super::until(|| self.task.is_finished()).await;
+    }
+
     pub fn runs(&self, id: &str) -> u64 {
         self.counts.runs.lock().get(id).copied().unwrap_or(0)
     }
--- a/crates/lavenderseam_agent/tests/cluster/mod.rs
+++ b/crates/lavenderseam_agent/tests/cluster/mod.rs
@@ -55,3 +55,14 @@
         Caller::new(settings).unwrap()
     }
 }
+
+/// Waits until something holds.
+pub async fn until(holds: impl Fn() -> bool) {
+    let holding = async {
+        while !holds() {
+            tokio::time::sleep(std::time::Duration::from_millis(5)).await;
+        }
+    };
+    let limit = std::time::Duration::from_secs(10);
+    tokio::time::timeout(limit, holding).await.unwrap();
+}
--- a/crates/lavenderseam_core/src/admission/opener.rs
+++ b/crates/lavenderseam_core/src/admission/opener.rs
@@ -7,6 +7,8 @@
 pub struct Opener {
     /// Connections that are open.
     pub connections: u32,
+    /// Targets that have passed it on.
+    pub passes: usize,
     /// Whether the target drains or leaves.
     pub draining: bool,
     /// Whether operators have taken the target's failure domain out.
--- a/crates/lavenderseam_core/src/admission/settings.rs
+++ b/crates/lavenderseam_core/src/admission/settings.rs
@@ -5,7 +5,11 @@
 /// How a window reacts to outcomes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Settings {
-    /// Shortest time between two growths.
+    /// Shortest time from turning cold to the first growth.
+    pub hold: Duration,
+    /// Shortest time between two growths while warming.
+    pub warming_round: Duration,
+    /// Shortest time between two growths once warm.
     pub round: Duration,
     /// Longest time between two growths, reached by repeated failures.
     pub round_limit: Duration,
@@ -34,11 +38,13 @@
 impl Default for Settings {
     fn default() -> Self {
         Self {
+            hold: Duration::from_secs(5),
+            warming_round: Duration::from_millis(2500),
             round: Duration::from_millis(500),
-            round_limit: Duration::from_secs(8),
+            round_limit: Duration::from_secs(20),
             burst_count: 2,
             burst: Duration::from_secs(1),
-            idle: Duration::from_secs(30),
+            idle: Duration::from_secs(60),
             stall: Duration::from_secs(3),
             latency_factor: 4,
             latency_slack: Duration::from_millis(50),
--- a/crates/lavenderseam_core/src/admission/window.rs
+++ b/crates/lavenderseam_core/src/admission/window.rs
@@ -9,6 +9,8 @@
 
 /// Time that a request is taken to last before one has ended.
 const HOLD_UNKNOWN: Duration = Duration::from_millis(100);
+/// Targets that pass a flow on for want of slots before one holds it all the same.
+const PASSES_LIMIT: usize = 2;
 
 /// How a request to the backend server ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -40,6 +42,7 @@
     limit: u32,
     threshold: u32,
     in_flight: u32,
+    warming: bool,
     round: Round,
     failures: Vec<Instant>,
     alive: Instant,
@@ -82,9 +85,10 @@
             limit: bounds.cold_slots.0,
             threshold: bounds.slots.0,
             in_flight: 0,
+            warming: true,
             round: Round {
                 began: now,
-                span: settings.round,
+                span: settings.hold,
                 successes: 0,
                 full: false,
             },
@@ -137,6 +141,8 @@
     pub fn lost(&mut self, now: Instant) {
         self.unreachable_until = now + self.settings.unreachable;
         self.turn_cold(now);
+        // It is tried again and again; only what it does once it is back makes it wait longer.
+        self.start_round(self.settings.hold, now);
     }
 
     /// Heeds a report of the backend server: how many slots it says it has.
@@ -165,9 +171,12 @@
 
     /// Takes over changed bounds.
     pub fn set_bounds(&mut self, bounds: Bounds) {
-        self.bounds = bounds;
-        self.limit = self.limit.min(bounds.slots.0);
+        if self.threshold >= self.bounds.slots.0 {
+            self.threshold = bounds.slots.0;
+        }
         self.threshold = self.threshold.min(bounds.slots.0);
+        self.limit = self.limit.clamp(bounds.cold_slots.0, bounds.slots.0);
+        self.bounds = bounds;
     }
 
     /// Whether another flow may be opened.
@@ -182,10 +191,13 @@
         if now < self.unreachable_until {
             return Admission::Refused(Reason::Unreachable);
         }
-        if opener.connections >= self.connections() {
+        if opener.connections >= self.bounds.connections {
             return Admission::Refused(Reason::Connections);
         }
-        if !self.is_warm() && self.in_flight >= self.limit() {
+        // Once others have refused it too, a flow is better held than turned away: it may be a
+        // live feed, which takes no slot.
+        let full = !self.is_warm() && self.in_flight >= self.limit;
+        if full && opener.passes < PASSES_LIMIT {
             return Admission::Refused(Reason::Window);
         }
         Admission::Admitted
@@ -209,19 +221,15 @@
         self.limit >= self.bounds.slots.0
     }
 
-    /// Connections that the backend server is given now: in proportion to the limit.
-    fn connections(&self) -> u32 {
-        let share = u64::from(self.bounds.connections) * u64::from(self.limit)
-            / u64::from(self.bounds.slots.0);
-        u32::try_from(share).unwrap_or(u32::MAX)
-    }
-
     fn succeeded(&mut self, first_byte: Duration, held: Duration, now: Instant) {
         self.alive = now;
         self.unreachable_until = Instant::default();
         self.hold.add(held);
         if self.first_byte.jumped(first_byte, &self.settings) {
-            self.shrink(now);
+            // The requests of one round that a jump delays count as one.
+            if now.since(self.round.began) >= self.settings.round {
+                self.shrink(now);
+            }
             return;
         }
         self.round.successes += 1;
@@ -249,15 +257,20 @@
         } else {
             self.limit + 1
         };
-        self.limit = grown.min(self.ceiling(now));
-        let span = (self.round.span / 2).max(self.settings.round);
-        self.start_round(span, now);
+        self.limit = grown.min(self.ceiling(now)).max(self.limit);
+        self.warming &= !self.is_warm();
+        let shortest = if self.warming {
+            self.settings.warming_round
+        } else {
+            self.settings.round
+        };
+        self.start_round(shortest.max(self.round.span / 2), now);
     }
 
     fn shrink(&mut self, now: Instant) {
         self.threshold = (self.limit / 2).max(self.bounds.cold_slots.0);
         self.limit = self.threshold;
-        self.back_off(now);
+        self.back_off(Duration::ZERO, now);
     }
 
     fn turn_cold(&mut self, now: Instant) {
@@ -265,15 +278,16 @@
             self.threshold = (self.limit / 2).max(self.bounds.cold_slots.0);
         }
         self.limit = self.bounds.cold_slots.0;
+        self.warming = true;
         self.failures.clear();
         self.first_byte = Mean::default();
-        self.back_off(now);
+        self.back_off(self.settings.hold, now);
     }
 
-    /// Makes the next growth wait longer than the last one did.
-    fn back_off(&mut self, now: Instant) {
+    /// Makes the next growth wait for twice as long as the last one did, and for `shortest`.
+    fn back_off(&mut self, shortest: Duration, now: Instant) {
         let span = (self.round.span * 2).min(self.settings.round_limit);
-        self.start_round(span, now);
+        self.start_round(span.max(shortest), now);
     }
 
     fn start_round(&mut self, span: Duration, now: Instant) {
--- a/crates/lavenderseam_core/src/request/memory.rs
+++ b/crates/lavenderseam_core/src/request/memory.rs
@@ -226,9 +226,11 @@
     }
 
     fn store(&mut self, key: &Key, state: State<A>, now: Instant) {
-        let entry = Entry { state, seen: now };
+        // A binding may bear a slightly later time than the clock, to be unique.
+        let seen = now.max(self.issued);
+        let entry = Entry { state, seen };
         self.entries.insert(key.clone(), entry);
-        self.by_age.push_back((now, key.clone()));
+        self.by_age.push_back((seen, key.clone()));
     }
 
     /// Forgets keys for which no binding is alive any more.
