--- a/crates/lavenderseam_bench/src/run/mod.rs
+++ b/crates/lavenderseam_bench/src/run/mod.rs
@@ -7,6 +7,8 @@
 mod operator;
 mod runner;
 mod sample;
+#[cfg(test)]
+mod tests;
 mod work;
 
 pub use applied::{Applied, Log};
--- /dev/null
+++ b/crates/lavenderseam_bench/tests/backend.rs
@@ -0,0 +1,103 @@
+//! What a backend server bears, and its journal.
+
+use std::time::Duration;
+
+use googletest::prelude::*;
+use lavenderseam_bench::standins::backend::{Admission, Capacity, Journal, Line, content};
+use proptest::collection::vec;
+use proptest::prelude::{any, prop_assert, prop_assert_eq, prop_assert_ne, proptest};
+
+const COLD: Duration = Duration::from_secs(1);
+const RAMP: Duration = Duration::from_secs(4);
+
+#[gtest]
+fn warms_up_step_by_step() {
+    let mut capacity = Capacity::new(5, COLD, RAMP);
+    expect_that!(capacity.bears(Duration::ZERO), eq(5));
+    capacity.turn_cold(Duration::ZERO);
+    expect_that!(capacity.bears(Duration::from_millis(999)), eq(1));
+    expect_that!(capacity.bears(Duration::from_secs(3)), eq(3));
+    expect_that!(capacity.bears(Duration::from_secs(5)), eq(5));
+}
+
+#[gtest]
+fn sheds_when_warm_and_full() {
+    let mut capacity = Capacity::new(2, COLD, RAMP);
+    let now = Duration::ZERO;
+    let (first, generation) = capacity.admit(now);
+    expect_that!(first, eq(Admission::Run));
+    expect_that!(capacity.admit(now).0, eq(Admission::Run));
+    expect_that!(capacity.admit(now).0, eq(Admission::Shed));
+    capacity.finish(generation);
+    expect_that!(capacity.admit(now).0, eq(Admission::Run));
+    expect_that!(capacity.peak(), eq(0.0));
+}
+
+#[gtest]
+fn falls_over_when_cold_and_overloaded() {
+    let mut capacity = Capacity::new(4, COLD, RAMP);
+    let now = Duration::ZERO;
+    capacity.turn_cold(now);
+    let (first, generation) = capacity.admit(now);
+    expect_that!(first, eq(Admission::Run));
+    expect_that!(capacity.admit(now).0, eq(Admission::Run));
+    expect_that!(capacity.peak(), eq(2.0));
+    expect_that!(capacity.admit(now).0, eq(Admission::FallOver));
+    let after = (capacity.peak(), capacity.falls(), capacity.in_use());
+    expect_that!(after, eq((3.0, 1, 0)));
+    expect_that!(capacity.finish(generation), eq(false));
+}
+
+#[gtest]
+fn keeps_a_journal_over_restarts() {
+    let name = format!("lavenderseam-bench-journal-{}", std::process::id());
+    let path = std::env::temp_dir().join(name);
+    let run = Line::Run {
+        id: "edit 7".to_owned(),
+        at_ms: 3,
+    };
+    let lines = vec![
+        Line::Arrival(1),
+        Line::Began(2),
+        run,
+        Line::Overload(1.5),
+        Line::Fall(4),
+    ];
+    for line in &lines {
+        Journal::open(&path).unwrap().note(line);
+    }
+    let read = Journal::read(&path).unwrap();
+    std::fs::remove_file(&path).unwrap();
+    expect_that!(read, eq(&lines));
+    expect_that!(Journal::read(&path).unwrap(), is_empty());
+}
+
+proptest! {
+    #[test]
+    fn never_runs_more_than_it_falls_over_at(steps in vec(any::<bool>(), 1..200)) {
+        let mut capacity = Capacity::new(8, COLD, RAMP);
+        capacity.turn_cold(Duration::ZERO);
+        let mut running = Vec::new();
+        for (index, begins) in steps.into_iter().enumerate() {
+            let now = Duration::from_millis(50 * index as u64);
+            if begins {
+                let (admission, generation) = capacity.admit(now);
+                if admission == Admission::Run {
+                    running.push(generation);
+                }
+            } else if let Some(generation) = running.pop() {
+                capacity.finish(generation);
+            }
+            prop_assert!(capacity.in_use() <= 2 * capacity.bears(now));
+        }
+    }
+
+    #[test]
+    fn gives_each_service_its_own_files(bytes in 8_usize..2_000) {
+        let own = content::file("trail-status", bytes);
+        prop_assert_eq!(own.len(), bytes);
+        prop_assert_eq!(&own, &content::file("trail-status", bytes));
+        let other = content::file("map-store", bytes);
+        prop_assert_ne!(content::hash(&own), content::hash(&other));
+    }
+}
--- /dev/null
+++ b/crates/lavenderseam_bench/tests/platform.rs
@@ -0,0 +1,129 @@
+//! The platform stand-in over HTTP: watches, outages and lost answers.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use googletest::prelude::*;
+use http::{Method, StatusCode};
+use lavenderseam_bench::launcher::Network;
+use lavenderseam_bench::remote;
+use lavenderseam_bench::standins::platform::{self, Change, Fault, Listing, Report, Settings};
+use lavenderseam_bench::standins::{FAULT_PATH, REPORT_PATH};
+use serde_json::json;
+
+async fn start(writes_per_second: u32) -> Network {
+    let network = Network::free().unwrap();
+    let settings = Settings {
+        address: network.store(),
+        control: network.store_control(),
+        writes_per_second,
+        reads_per_second: 2_000,
+        seed: 1,
+    };
+    tokio::spawn(platform::run(settings));
+    let control = network.store_control();
+    while remote::read::<Report>(control, REPORT_PATH).await.is_err() {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    network
+}
+
+async fn create(network: Network, name: &str) -> Option<StatusCode> {
+    let path = format!("/v1/objects/Drain/{name}");
+    let body = Bytes::from(json!({"kind": "Drain", "name": name}).to_string());
+    let headers = [("if-none-match", "*")];
+    let answer = remote::send(Method::PUT, network.store(), &path, &headers, body).await;
+    answer.ok().map(|answer| answer.status)
+}
+
+async fn status(network: Network, method: Method, path: &str) -> Option<StatusCode> {
+    let answer = remote::send(method, network.store(), path, &[], Bytes::new()).await;
+    answer.ok().map(|answer| answer.status)
+}
+
+async fn inject(network: Network, fault: Fault) {
+    let control = network.store_control();
+    remote::post(control, FAULT_PATH, &fault).await.unwrap();
+}
+
+#[gtest]
+#[tokio::test]
+async fn wakes_a_watch_for_a_write() {
+    let network = start(400).await;
+    let path = "/v1/watch?after=0&wait_ms=4000";
+    let watch = remote::read::<Listing<Change>>(network.store(), path);
+    let write = async {
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        create(network, "a").await
+    };
+    let (changes, written) = tokio::join!(watch, write);
+    expect_that!(written, some(eq(StatusCode::OK)));
+    let changes = changes.unwrap();
+    expect_that!(changes.revision, eq(1));
+    expect_that!(changes.entries[0].name, eq("a"));
+}
+
+#[gtest]
+#[tokio::test]
+async fn answers_a_watch_without_changes() {
+    let network = start(400).await;
+    let path = "/v1/watch?after=0&wait_ms=20";
+    let changes: Listing<Change> = remote::read(network.store(), path).await.unwrap();
+    expect_that!(changes.entries, is_empty());
+}
+
+#[gtest]
+#[tokio::test]
+async fn demands_a_condition() {
+    let network = start(400).await;
+    let refused = status(network, Method::PUT, "/v1/objects/Drain/a").await;
+    expect_that!(refused, some(eq(StatusCode::PRECONDITION_REQUIRED)));
+    let missing = status(network, Method::GET, "/v1/objects/Drain/a").await;
+    expect_that!(missing, some(eq(StatusCode::NOT_FOUND)));
+}
+
+#[gtest]
+#[tokio::test]
+async fn loses_answers_after_the_write() {
+    let network = start(400).await;
+    inject(network, Fault::LoseAnswers { percent: 100 }).await;
+    expect_that!(create(network, "a").await, none());
+    inject(network, Fault::LoseAnswers { percent: 0 }).await;
+    let repeated = create(network, "a").await;
+    expect_that!(repeated, some(eq(StatusCode::PRECONDITION_FAILED)));
+    let report: Report = remote::read(network.store_control(), REPORT_PATH)
+        .await
+        .unwrap();
+    let counts = (report.writes, report.answers_lost, report.conflicts);
+    expect_that!(counts, eq((1, 1, 1)));
+}
+
+#[gtest]
+#[tokio::test]
+async fn does_nothing_in_an_outage() {
+    let network = start(400).await;
+    inject(network, Fault::Down { on: true }).await;
+    expect_that!(create(network, "a").await, none());
+    inject(network, Fault::Down { on: false }).await;
+    let missing = status(network, Method::GET, "/v1/objects/Drain/a").await;
+    expect_that!(missing, some(eq(StatusCode::NOT_FOUND)));
+    expect_that!(create(network, "a").await, some(eq(StatusCode::OK)));
+}
+
+#[gtest]
+#[tokio::test]
+async fn refuses_writes_beyond_the_rate() {
+    let network = start(1).await;
+    let mut refused = 0;
+    for number in 0..5 {
+        let name = format!("a{number}");
+        let answered = create(network, &name).await;
+        if answered == Some(StatusCode::TOO_MANY_REQUESTS) {
+            refused += 1;
+            let path = format!("/v1/objects/Drain/{name}");
+            let held = status(network, Method::GET, &path).await;
+            expect_that!(held, some(eq(StatusCode::NOT_FOUND)));
+        }
+    }
+    expect_that!(refused, ge(1));
+}
