--- a/crates/lavenderseam_core/src/liveness/prober.rs
+++ b/crates/lavenderseam_core/src/liveness/prober.rs
@@ -5,11 +5,11 @@
 use std::time::Duration;
 
 use super::health::Health;
-use super::{Probed, assign};
-use crate::catalog::Catalog;
-use crate::id::{Incarnation, Tag};
+use super::{Assignment, Probed};
+use crate::catalog::Entry;
+use crate::id::{self, Incarnation, Tag};
 use crate::rank::score;
-use crate::record::{Down, Verdict};
+use crate::record::{Down, Id, Kind, Record, Verdict};
 use crate::relay::{MemberId, PAUSE_LIMIT};
 use crate::time::Instant;
 
@@ -21,6 +21,8 @@
 const WRITE_INTERVAL: Duration = Duration::from_secs(1);
 /// Pause after a write that failed.
 const WRITE_RETRY: Duration = Duration::from_secs(2);
+/// Time after which a target that is down is forgotten; its agent announces itself anew if it lives.
+const FORGET_AFTER: Duration = Duration::from_secs(3600);
 /// Targets below which silence of most says nothing about the balancer itself.
 const ISOLATION_MINIMUM: usize = 4;
 
@@ -36,6 +38,8 @@
     },
     /// Write this verdict; the outcome comes back by [`Prober::written`].
     Write(Verdict),
+    /// Delete the record of a target that has been down for long, if it still names this run.
+    Forget(Down),
 }
 
 /// The answer to a probe.
@@ -52,7 +56,9 @@
 /// One balancer's probes and its verdict.
 #[derive(Clone, Debug)]
 pub struct Prober {
-    own: MemberId,
+    own: Id,
+    assignment: Assignment,
+    assignment_changed: bool,
     seed: u64,
     draws: u64,
     health: BTreeMap<Tag, Health>,
@@ -65,9 +71,11 @@
 impl Prober {
     /// A balancer that probes nothing yet.
     #[must_use]
-    pub fn new(own: MemberId, seed: u64, now: Instant) -> Self {
+    pub fn new(name: &id::Balancer, seed: u64, now: Instant) -> Self {
         Self {
-            own,
+            own: Id::new(Kind::Verdict, name),
+            assignment: Assignment::new(MemberId::new(&Id::new(Kind::Balancer, name))),
+            assignment_changed: false,
             seed,
             draws: 0,
             health: BTreeMap::new(),
@@ -78,9 +86,18 @@
         }
     }
 
-    /// Follows the records: probes the targets assigned to this balancer.
-    pub fn follow(&mut self, catalog: &Catalog, now: Instant) {
-        let assigned = assign(self.own, catalog);
+    /// Takes an entry that the catalog has taken.
+    pub fn apply(&mut self, entry: &Entry) {
+        self.assignment_changed |= self.assignment.apply(entry);
+        // Perhaps the verdict of an earlier run of the balancer.
+        if entry.id == self.own && self.writing.is_none() {
+            self.written = verdict(entry);
+        }
+    }
+
+    /// Probes the targets that are assigned now.
+    fn follow(&mut self, now: Instant) {
+        let assigned = self.assignment.assigned().clone();
         self.health.retain(|tag, _| assigned.contains_key(tag));
         for (tag, probed) in assigned {
             self.follow_target(tag, probed, now);
@@ -108,9 +125,13 @@
         self.health
             .values_mut()
             .for_each(|health| health.expire(now));
-        self.judge();
+        if std::mem::take(&mut self.assignment_changed) {
+            self.follow(now);
+        }
+        self.judge(now);
         let mut actions = self.probe(now);
         actions.extend(self.write(now));
+        actions.extend(self.forget(now));
         actions
     }
 
@@ -123,13 +144,10 @@
 
     /// Takes the outcome of a write of the verdict.
     pub fn written(&mut self, taken: bool, now: Instant) {
-        let Some(verdict) = self.writing.take() else {
-            return;
-        };
-        if taken {
-            self.written = verdict;
-        } else {
-            self.next_write = now + WRITE_RETRY;
+        let verdict = self.writing.take();
+        match verdict {
+            Some(verdict) if taken => self.written = verdict,
+            _ => self.next_write = now + WRITE_RETRY,
         }
     }
 
@@ -143,22 +161,19 @@
     #[must_use]
     pub fn verdict(&self) -> Verdict {
         let down = self.health.values().filter(|health| health.down);
-        let down = down.map(|health| Down {
-            target: health.probed.target.clone(),
-            incarnation: health.probed.incarnation,
-        });
+        let down = down.map(Health::as_down);
         Verdict {
             down: down.collect(),
         }
     }
 
     /// Condemns silent targets unless this balancer seems cut off itself.
-    fn judge(&mut self) {
+    fn judge(&mut self, now: Instant) {
         if self.is_isolated() {
             return;
         }
         let silent = self.health.values_mut().filter(|health| health.is_silent());
-        silent.for_each(|health| health.down = true);
+        silent.for_each(|health| health.condemn(now));
     }
 
     /// Whether most targets stopped answering of late.
@@ -208,8 +223,27 @@
         Some(Action::Write(verdict))
     }
 
+    /// One target that has been down for long.
+    fn forget(&mut self, now: Instant) -> Option<Action> {
+        let mut long = self.health.values_mut().filter(|health| {
+            health
+                .down_for(now)
+                .is_some_and(|span| span >= FORGET_AFTER)
+        });
+        let health = long.next()?;
+        health.postpone(now);
+        Some(Action::Forget(health.as_down()))
+    }
+
     fn draw(&mut self) -> u64 {
         self.draws += 1;
         score(self.seed, self.draws)
     }
 }
+
+/// The verdict that an entry holds.
+fn verdict(entry: &Entry) -> Verdict {
+    let document = entry.document.as_ref();
+    let verdict = document.and_then(|document| Verdict::read(document).ok());
+    verdict.unwrap_or(Verdict { down: Vec::new() })
+}
