--- a/crates/lavenderseam_bench/src/load/mod.rs
+++ b/crates/lavenderseam_bench/src/load/mod.rs
@@ -16,7 +16,7 @@
 
 pub use callers::Callers;
 pub use check::Fault;
-pub use client::{Answer, Client, Failure, Feed, FlowCounts, Session};
+pub use client::{Answer, Client, Event, Failure, Feed, FlowCounts, Session};
 pub use edit::{Edit, EditOutcome};
 pub use feed::FeedCounts;
 pub use flows::{Broken, Flows};
--- a/crates/lavenderseam_bench/src/schedule/experiment.rs
+++ b/crates/lavenderseam_bench/src/schedule/experiment.rs
@@ -145,7 +145,7 @@
 impl Default for Load {
     fn default() -> Self {
         Self {
-            callers: 12,
+            callers: 28,
             feeds: 12,
             edits_per_second: 20.0,
             downloads_per_second: 2.0,
--- a/crates/lavenderseam_bench/tests/objects.rs
+++ b/crates/lavenderseam_bench/tests/objects.rs
@@ -31,10 +31,7 @@
         .unwrap();
     let late = objects.delete("Drain", "a", 9);
     expect_that!(late, err(eq(Rejection::Conflict(Some(1)))));
-    expect_that!(
-        objects.delete("Drain", "b", 1),
-        err(eq(Rejection::Missing))
-    );
+    expect_that!(objects.delete("Drain", "b", 1), err(eq(Rejection::Missing)));
     expect_that!(objects.delete("Drain", "a", 1), ok(eq(2)));
     let changes = objects.changes(1).unwrap();
     expect_that!(changes.entries, len(eq(1)));
@@ -50,9 +47,9 @@
         .unwrap();
     for revision in 1..=10_050 {
         let written = objects.put("Verdict", "a", json!({}), Condition::At(revision));
-        expect_that!(written, ok(eq((revision + 1))));
+        expect_that!(written, ok(eq(revision + 1)));
     }
-    expect_that!(objects.changes(3), err(eq(Rejection::Compacted)));
+    expect_that!(objects.changes(3), err(eq(&Rejection::Compacted)));
     expect_that!(objects.changes(10_050).unwrap().entries, len(eq(1)));
 }
 
