--- a/crates/lavenderseam_bench/tests/launcher.rs
+++ b/crates/lavenderseam_bench/tests/launcher.rs
@@ -1,5 +1,7 @@
 //! The launcher starts the stand-ins of a deployment and leaves nothing behind.
 
+#![allow(clippy::unwrap_used, reason = "helpers of tests")]
+
 use std::path::Path;
 
 use googletest::prelude::*;
--- a/crates/lavenderseam_bench/tests/load.rs
+++ b/crates/lavenderseam_bench/tests/load.rs
@@ -1,5 +1,7 @@
 //! The callers' counts, with a client that answers as it is told.
 
+#![allow(clippy::unwrap_used, reason = "helpers of tests")]
+
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
--- a/crates/lavenderseam_bench/tests/platform.rs
+++ b/crates/lavenderseam_bench/tests/platform.rs
@@ -1,5 +1,7 @@
 //! The platform stand-in over HTTP: watches, outages and lost answers.
 
+#![allow(clippy::unwrap_used, reason = "helpers of tests")]
+
 use std::time::Duration;
 
 use bytes::Bytes;
