--- a/crates/lavenderseam/examples/opaque_packets.rs
+++ b/crates/lavenderseam/examples/opaque_packets.rs
@@ -154,6 +154,7 @@
             };
             let opener = Opener {
                 connections: agent.owner.flows(),
+                passes: trail.len(),
                 draining: false,
                 domain_out: false,
             };
