--- /dev/null
+++ b/crates/lavenderseam_bench/examples/compare.rs
@@ -0,0 +1,6 @@
+//! Prints the comparison of ways to find a flow's target: `compare [seed]`.
+
+fn main() {
+    let seed = std::env::args().nth(1).and_then(|text| text.parse().ok());
+    print!("{}", lavenderseam_bench::compare::run(seed.unwrap_or(1)));
+}
--- /dev/null
+++ b/crates/lavenderseam_bench/src/compare/mod.rs
@@ -0,0 +1,37 @@
+//! Compares ways to find the target of a flow, in virtual time.
+//!
+//! The real core and simple models of the other ways are driven with the same flows, the same
+//! changes of the records and the same delays with which each process learns of them. Changes are
+//! planned ones, so every broken flow is a fault of the way.
+
+mod buckets;
+mod filters;
+mod hashing;
+mod method;
+mod owners;
+mod report;
+mod runner;
+mod scene;
+
+pub use report::{Report, Row};
+
+use buckets::Buckets;
+use filters::Filters;
+use hashing::Hashing;
+use owners::Owners;
+use runner::measure;
+
+/// Measures all ways with the same schedule.
+#[must_use]
+pub fn run(seed: u64) -> Report {
+    Report {
+        rows: vec![
+            measure("hashing alone", Hashing::default(), seed),
+            measure("bucket table, 2 previous owners", Buckets::default(), seed),
+            measure("Bloom filters of misplaced flows", Filters::default(), seed),
+            measure("owners and walk, no cache", Owners::with_cache(false), seed),
+            measure("owners, walk and cache", Owners::with_cache(true), seed),
+            measure("routable connection ids", Owners::with_tokens(), seed),
+        ],
+    }
+}
--- a/crates/lavenderseam_bench/src/lib.rs
+++ b/crates/lavenderseam_bench/src/lib.rs
@@ -3,6 +3,7 @@
 //!
 //! Counts are taken by the stand-ins and the callers, never by the system under test.
 
+pub mod compare;
 mod error;
 pub mod launcher;
 pub mod load;
