--- a/crates/lavenderseam_bench/src/compare/buckets.rs
+++ b/crates/lavenderseam_bench/src/compare/buckets.rs
@@ -4,7 +4,7 @@
 use lavenderseam_core::flow::Key;
 use lavenderseam_core::view::Standing;
 
-use super::method::{Held, Method, Target, Visit, ranked};
+use super::method::{End, Held, Method, Target, Visit, ranked};
 use super::scene::{BALANCERS, Scene, TARGETS_LIMIT};
 
 /// Buckets of the table.
@@ -65,16 +65,22 @@
         if let Some(target) = end {
             self.held.insert(target, flow);
         }
-        Visit { end, hops: 1 }
+        Visit {
+            end: end.into(),
+            hops: 1,
+        }
     }
 
     fn packet(&mut self, scene: &Scene, balancer: usize, flow: Key, _owner: Target) -> Visit {
         let version = scene.balancer_version(balancer);
         let Some(first) = self.targets(version, flow).first().copied() else {
-            return Visit { end: None, hops: 1 };
+            return Visit {
+                end: End::Reset,
+                hops: 1,
+            };
         };
         if self.held.contains(first, flow) {
-            let end = Some(first);
+            let end = End::Taken(first);
             return Visit { end, hops: 1 };
         }
         let others = self.targets(scene.agent_version(first), flow);
@@ -82,11 +88,14 @@
         for other in others.iter().filter(|other| **other != first) {
             hops += 1;
             if self.held.contains(*other, flow) {
-                let end = Some(*other);
+                let end = End::Taken(*other);
                 return Visit { end, hops };
             }
         }
-        Visit { end: None, hops }
+        Visit {
+            end: End::Reset,
+            hops,
+        }
     }
 
     fn close(&mut self, flow: Key, owner: Target) {
--- a/crates/lavenderseam_bench/src/compare/filters.rs
+++ b/crates/lavenderseam_bench/src/compare/filters.rs
@@ -5,7 +5,7 @@
 use lavenderseam_core::rank;
 use lavenderseam_core::view::{Candidate, Standing};
 
-use super::method::{Held, Method, Target, Visit, ranked};
+use super::method::{End, Held, Method, Target, Visit, ranked};
 use super::scene::{BALANCERS, Scene, TARGETS_LIMIT};
 
 /// Bits for each flow in a filter.
@@ -70,7 +70,10 @@
         if let Some(target) = end {
             self.held.insert(target, flow);
         }
-        Visit { end, hops: 1 }
+        Visit {
+            end: end.into(),
+            hops: 1,
+        }
     }
 
     fn packet(&mut self, scene: &Scene, balancer: usize, flow: Key, _owner: Target) -> Visit {
@@ -79,22 +82,28 @@
             .iter()
             .find(|target| self.filters.get(**target).is_some_and(|f| f.contains(flow)));
         let Some(first) = named.or(order.first()).copied() else {
-            return Visit { end: None, hops: 1 };
+            return Visit {
+                end: End::Reset,
+                hops: 1,
+            };
         };
         let mut hops = 1;
         if self.held.contains(first, flow) {
-            let end = Some(first);
+            let end = End::Taken(first);
             return Visit { end, hops };
         }
         let rest = ranked(scene.agent(first), flow.word(), holders);
         for target in rest.into_iter().filter(|target| *target != first) {
             hops += 1;
             if self.held.contains(target, flow) {
-                let end = Some(target);
+                let end = End::Taken(target);
                 return Visit { end, hops };
             }
         }
-        Visit { end: None, hops }
+        Visit {
+            end: End::Reset,
+            hops,
+        }
     }
 
     fn close(&mut self, flow: Key, owner: Target) {
--- a/crates/lavenderseam_bench/src/compare/hashing.rs
+++ b/crates/lavenderseam_bench/src/compare/hashing.rs
@@ -24,13 +24,19 @@
         if let Some(target) = end {
             self.held.insert(target, flow);
         }
-        Visit { end, hops: 1 }
+        Visit {
+            end: end.into(),
+            hops: 1,
+        }
     }
 
     fn packet(&mut self, scene: &Scene, balancer: usize, flow: Key, _owner: Target) -> Visit {
         let end = first(scene, balancer, flow);
         let end = end.filter(|target| self.held.contains(*target, flow));
-        Visit { end, hops: 1 }
+        Visit {
+            end: end.into(),
+            hops: 1,
+        }
     }
 
     fn close(&mut self, flow: Key, owner: Target) {
--- a/crates/lavenderseam_bench/src/compare/method.rs
+++ b/crates/lavenderseam_bench/src/compare/method.rs
@@ -11,15 +11,32 @@
 /// Index of a target.
 pub(super) type Target = usize;
 
+/// How a packet ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum End {
+    /// A target took it.
+    Taken(Target),
+    /// The caller was refused, or told that nobody holds the flow.
+    Reset,
+    /// It was dropped; the transport sends it again.
+    Lost,
+}
+
 /// A packet's way.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Visit {
-    /// The target that took it; none if it was refused, reset or dropped.
-    pub(super) end: Option<Target>,
+    /// How it ended.
+    pub(super) end: End,
     /// Targets visited.
     pub(super) hops: u32,
 }
 
+impl From<Option<Target>> for End {
+    fn from(target: Option<Target>) -> Self {
+        target.map_or(Self::Reset, Self::Taken)
+    }
+}
+
 /// A way to find a flow's target.
 pub(super) trait Method {
     /// A caller opens a flow through a balancer.
--- a/crates/lavenderseam_bench/src/compare/report.rs
+++ b/crates/lavenderseam_bench/src/compare/report.rs
@@ -13,6 +13,8 @@
     pub flows: u64,
     /// Flows broken by a planned change.
     pub broken: u64,
+    /// Packets of open flows that were dropped, for the transport to send again.
+    pub lost: u64,
     /// Targets that a packet of an open flow visits, on average.
     pub hops: f64,
     /// Share of packets that visit more than one target.
@@ -36,16 +38,17 @@
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         writeln!(
             formatter,
-            "| way | flows | broken | hops a packet | walked % | memory B | control B/s | worst max/mean |"
+            "| way | flows | broken | lost packets | hops a packet | walked % | memory B | control B/s | worst max/mean |"
         )?;
-        writeln!(formatter, "|---|---|---|---|---|---|---|---|")?;
+        writeln!(formatter, "|---|---|---|---|---|---|---|---|---|")?;
         for row in &self.rows {
             writeln!(
                 formatter,
-                "| {} | {} | {} | {:.4} | {:.2} | {} | {} | {:.2} |",
+                "| {} | {} | {} | {} | {:.4} | {:.2} | {} | {} | {:.2} |",
                 row.method,
                 row.flows,
                 row.broken,
+                row.lost,
                 row.hops,
                 100.0 * row.walked,
                 row.memory,
