Ask for hints within a budget

A balancer now asks for 40 hints a second, and counts only openers that it asked about as unanswered. The forward frame carries the request, which touches one line of the agent.

--- a/crates/lavenderseam/examples/opaque_packets.rs
+++ b/crates/lavenderseam/examples/opaque_packets.rs
@@ -142,8 +142,8 @@
         let packet = self.adapter.packet(packet);
         let balancer = &self.balancers[balancer];
         let action = balancer.router.packet(&packet, &balancer.view, self.now);
-        let mut next = match action {
-            router::Action::Forward { target, .. } => target,
+        let (mut next, asks) = match action {
+            router::Action::Forward { target, asks, .. } => (target, asks),
             router::Action::Drop(reason) => return End::Dropped(reason),
         };
         let mut trail = Vec::new();
@@ -165,7 +165,7 @@
                 revision,
             };
             let decision = agent.owner.arrival(&arrival, &agent.view, self.now, admits);
-            if let Some(hint) = decision.hint {
+            if let Some(hint) = decision.hint.filter(|_| asks) {
                 balancer.router.hint(&hint, &balancer.view, self.now);
             }
             match decision.action {
--- a/crates/lavenderseam_agent/src/peer.rs
+++ b/crates/lavenderseam_agent/src/peer.rs
@@ -70,7 +70,7 @@
             revision: forward.revision,
         };
         let decision = self.server.flows.arrival(&arrival, &view, self.draining());
-        if let Some(hint) = decision.hint {
+        if let Some(hint) = decision.hint.filter(|_| forward.asks) {
             self.hint(hint, forward.balancer, out);
         }
         match decision.action {
--- a/crates/lavenderseam_agent/tests/cluster/relay.rs
+++ b/crates/lavenderseam_agent/tests/cluster/relay.rs
@@ -131,6 +131,7 @@
             trail: Vec::new(),
             revision: Revision(0),
             balancer: self.egress,
+            asks: true,
         };
         Some((peer, forward))
     }
--- a/crates/lavenderseam_balancer/src/fabric.rs
+++ b/crates/lavenderseam_balancer/src/fabric.rs
@@ -114,8 +114,8 @@
             kind,
             token,
         };
-        let peer = match shared.router.packet(&event, view, shared.now()) {
-            Action::Forward { peer, .. } => peer,
+        let (peer, asks) = match shared.router.packet(&event, view, shared.now()) {
+            Action::Forward { peer, asks, .. } => (peer, asks),
             Action::Drop(reason) => {
                 shared.counters.count_drop(reason);
                 return None;
@@ -130,6 +130,7 @@
             trail: Vec::new(),
             revision: view.revision(),
             balancer: shared.identity.peer,
+            asks,
         };
         Some(Routed {
             forward,
--- a/crates/lavenderseam_bench/src/slope/memory.rs
+++ b/crates/lavenderseam_bench/src/slope/memory.rs
@@ -103,6 +103,7 @@
                 shards: 16,
                 capacity: count,
                 silence: Duration::from_secs(3),
+                ..Settings::default()
             };
             let router: Router = Router::new(settings);
             let service = SocketAddr::from(([203, 0, 113, 1], 443));
--- a/crates/lavenderseam_bench/src/standins/hashing/forward.rs
+++ b/crates/lavenderseam_bench/src/standins/hashing/forward.rs
@@ -92,6 +92,7 @@
             trail: Vec::new(),
             revision: Revision(0),
             balancer,
+            asks: false,
         };
         if Frame::with_payload(forward, packet.payload)
             .seal(&self.frames, frame)
--- a/crates/lavenderseam_core/src/flow/router/cache.rs
+++ b/crates/lavenderseam_core/src/flow/router/cache.rs
@@ -28,8 +28,8 @@
 pub(super) struct Line {
     pub(super) owner: Tag,
     pub(super) state: State,
-    /// When the opener was sent; meaningful while tentative.
-    pub(super) since: Instant,
+    /// When the owner was first asked for a hint; meaningful while tentative.
+    pub(super) asked: Option<Instant>,
 }
 
 #[derive(Clone, Copy, Debug, Default)]
@@ -52,11 +52,21 @@
 }
 
 impl Line {
-    pub(super) fn tentative(owner: Tag, now: Instant) -> Self {
+    pub(super) fn tentative(owner: Tag, asked: Option<Instant>) -> Self {
         Self {
             owner,
             state: State::Tentative,
-            since: now,
+            asked,
+        }
+    }
+
+    /// Notes that another opener is sent to the owner, with a request for a hint.
+    pub(super) fn repeat(&mut self, now: Instant) {
+        if self.state == State::Tentative {
+            self.asked = self.asked.or(Some(now));
+        } else {
+            // The owner may have forgotten the flow; its hint settles that.
+            self.state = State::Doubted;
         }
     }
 
@@ -69,7 +79,7 @@
         Self {
             owner: hint.owner,
             state,
-            since: Instant::default(),
+            asked: None,
         }
     }
 }
--- a/crates/lavenderseam_core/src/flow/router/load.rs
+++ b/crates/lavenderseam_core/src/flow/router/load.rs
@@ -19,13 +19,15 @@
 use crate::view::{Candidate, Service, View};
 
 /// Share of flows moved per difference of the loads, relative to their mean.
-const GAIN: u64 = 4;
+const GAIN: u64 = 2;
 /// Denominator of shares.
 const WHOLE: u64 = 1_000;
 /// Openers that must stay unanswered before a target is suspect.
 const UNANSWERED_LIMIT: u32 = 3;
 /// How long a suspect is offered no new flows.
 const SUSPICION: Duration = Duration::from_secs(2);
+/// A hint in units of the budget.
+const HINT: u64 = 1_000_000;
 /// Distinguishes the hash that selects moved flows from the one that ranks targets.
 const SHARE_SALT: u64 = 0x7368_6172_6564;
 
@@ -54,14 +56,29 @@
     targets: HashMap<Tag, Load>,
     silence: Duration,
     answered: Instant,
+    budget: Budget,
+}
+
+/// Hints that may be asked for; refills steadily up to what a second allows.
+#[derive(Clone, Copy, Debug)]
+struct Budget {
+    rate: u32,
+    /// Hints left, in millionths.
+    left: u64,
+    refilled: Instant,
 }
 
 impl Loads {
-    pub(super) fn new(silence: Duration) -> Self {
+    pub(super) fn new(silence: Duration, hint_rate: u32) -> Self {
         Self {
             targets: HashMap::new(),
             silence,
             answered: Instant::default(),
+            budget: Budget {
+                rate: hint_rate,
+                left: u64::from(hint_rate) * HINT,
+                refilled: Instant::default(),
+            },
         }
     }
 
@@ -77,17 +94,28 @@
         self.targets.retain(|tag, _| view.target(*tag).is_some());
     }
 
-    /// Chooses a target for an opener; `silent` has left an earlier one unanswered.
+    /// Whether another hint may be asked for.
+    pub(super) fn asks(&mut self, now: Instant) -> bool {
+        self.budget.take(now)
+    }
+
+    /// Chooses a target for an opener, and whether to ask it for a hint; `silent` has left an
+    /// earlier one unanswered.
     pub(super) fn choose<'a>(
         &mut self,
         flow: Key,
         service: &'a Service,
         silent: Option<Tag>,
         now: Instant,
-    ) -> Option<&'a Candidate> {
+    ) -> Option<(&'a Candidate, bool)> {
         let target = self.pick(flow, service, silent, now)?;
-        self.sent(target.tag, now);
-        Some(target)
+        // A trial of a suspect makes no sense without an answer.
+        let trial = self.is_suspect(target.tag);
+        let asks = self.asks(now) || trial;
+        if asks {
+            self.sent(target.tag, now);
+        }
+        Some((target, asks))
     }
 
     fn pick<'a>(
@@ -153,6 +181,11 @@
         };
     }
 
+    fn is_suspect(&self, target: Tag) -> bool {
+        let load = self.targets.get(&target);
+        load.is_some_and(|load| matches!(load.trust, Trust::Suspect { .. }))
+    }
+
     /// Whether a target is left out for now because it doesn't answer.
     fn is_avoided(&mut self, target: Tag, now: Instant) -> bool {
         let answered = self.answered;
@@ -181,6 +214,23 @@
     }
 }
 
+impl Budget {
+    fn take(&mut self, now: Instant) -> bool {
+        let refill = now.since(self.refilled).as_micros() * u128::from(self.rate);
+        let full = u64::from(self.rate) * HINT;
+        self.left = u64::try_from(refill)
+            .unwrap_or(full)
+            .saturating_add(self.left)
+            .min(full);
+        self.refilled = self.refilled.max(now);
+        let granted = self.left >= HINT;
+        if granted {
+            self.left -= HINT;
+        }
+        granted
+    }
+}
+
 impl Default for Load {
     fn default() -> Self {
         Self {
--- a/crates/lavenderseam_core/src/flow/router/mod.rs
+++ b/crates/lavenderseam_core/src/flow/router/mod.rs
@@ -7,7 +7,8 @@
 //!    in rendezvous order; the agents pass it on until it reaches the owner;
 //! 4. an opener goes to one of the two targets that rank first for its flow, see [`Loads`].
 //!
-//! Hints of the agents fill the cache. Losing it costs hops, never flows.
+//! Hints of the agents fill the cache and tell loads. Losing them costs hops, never flows, so a
+//! balancer asks only for as many as its budget of control traffic allows.
 //!
 //! Threads share a router: the cache is divided into shards, each under its own lock, and the
 //! loads have a lock of their own that is taken while a shard's is held, never the other way.
@@ -37,6 +38,14 @@
     pub capacity: usize,
     /// How long a target may leave openers unanswered.
     pub silence: Duration,
+    /// Hints that are asked for in a second.
+    pub hint_rate: u32,
+}
+
+/// A target, and whether its agent is asked for a hint.
+struct Choice<'a> {
+    target: &'a Candidate,
+    asks: bool,
 }
 
 /// What becomes of a packet.
@@ -48,6 +57,8 @@
         target: Tag,
         /// Address of its agent for sealed frames.
         peer: SocketAddr,
+        /// Whether the agent is asked for a hint.
+        asks: bool,
     },
     /// It is dropped.
     Drop(Reason),
@@ -82,7 +93,7 @@
             .collect();
         Self {
             shards,
-            loads: L::Guard::new(Loads::new(settings.silence)),
+            loads: L::Guard::new(Loads::new(settings.silence, settings.hint_rate)),
             silence: settings.silence,
         }
     }
@@ -90,9 +101,10 @@
     /// Decides a packet.
     pub fn packet(&self, packet: &Packet, view: &View, now: Instant) -> Action {
         match self.decide(packet, view, now) {
-            Ok(target) => Action::Forward {
+            Ok(Choice { target, asks }) => Action::Forward {
                 target: target.tag,
                 peer: target.peer,
+                asks,
             },
             Err(reason) => Action::Drop(reason),
         }
@@ -146,25 +158,35 @@
         packet: &Packet,
         view: &'a View,
         now: Instant,
-    ) -> Result<&'a Candidate, Reason> {
+    ) -> Result<Choice<'a>, Reason> {
         let service = view.service(packet.service).ok_or(Reason::UnknownService)?;
         if let Some(token) = packet.token {
-            return token_owner(packet.flow, token, service, view);
+            let target = token_owner(packet.flow, token, service, view)?;
+            let asks = false;
+            return Ok(Choice { target, asks });
         }
         match packet.kind {
             Kind::Opener => self.opener(packet.flow, service, now),
-            Kind::Continuing => self.continuing(packet.flow, service),
+            Kind::Continuing => self.continuing(packet.flow, service, now),
         }
     }
 
-    fn continuing<'a>(&self, flow: Key, service: &'a Service) -> Result<&'a Candidate, Reason> {
+    fn continuing<'a>(
+        &self,
+        flow: Key,
+        service: &'a Service,
+        now: Instant,
+    ) -> Result<Choice<'a>, Reason> {
         let cached = self
             .shard(flow)
             .with(|cache| cache.get(flow).map(|line| line.owner));
-        cached
-            .and_then(|owner| holder(service, owner))
-            .or_else(|| order::first_holder(service, flow, |_| false))
-            .ok_or(Reason::NoTarget)
+        if let Some(target) = cached.and_then(|owner| holder(service, owner)) {
+            let asks = false;
+            return Ok(Choice { target, asks });
+        }
+        let target = order::first_holder(service, flow, |_| false).ok_or(Reason::NoTarget)?;
+        let asks = self.loads.with(|loads| loads.asks(now));
+        Ok(Choice { target, asks })
     }
 
     fn opener<'a>(
@@ -172,25 +194,24 @@
         flow: Key,
         service: &'a Service,
         now: Instant,
-    ) -> Result<&'a Candidate, Reason> {
+    ) -> Result<Choice<'a>, Reason> {
         self.shard(flow).with(|cache| {
             let line = cache.get(flow);
-            if let Some(target) = line.and_then(|line| self.repeated(line, service, now)) {
-                // The owner may have forgotten the flow; its next hint settles that.
-                if let Some(line) = cache.get_mut(flow)
-                    && line.state != State::Tentative
-                {
-                    line.state = State::Doubted;
-                }
-                return Ok(target);
+            if let Some(target) = line.and_then(|line| self.repeated(line, service, now))
+                && let Some(line) = cache.get_mut(flow)
+            {
+                line.repeat(now);
+                let asks = true;
+                return Ok(Choice { target, asks });
             }
             let silent = line.map(|line| line.owner);
-            let target = self
+            let (target, asks) = self
                 .loads
                 .with(|loads| loads.choose(flow, service, silent, now))
                 .ok_or(Reason::NoTarget)?;
-            cache.insert(flow, Line::tentative(target.tag, now));
-            Ok(target)
+            let asked = asks.then_some(now);
+            cache.insert(flow, Line::tentative(target.tag, asked));
+            Ok(Choice { target, asks })
         })
     }
 
@@ -205,7 +226,9 @@
         if line.state != State::Tentative {
             return Some(target);
         }
-        let silent = now.since(line.since) >= self.silence;
+        let silent = line
+            .asked
+            .is_some_and(|asked| now.since(asked) >= self.silence);
         (!silent && target.takes_flows()).then_some(target)
     }
 
@@ -303,6 +326,7 @@
             shards: 16,
             capacity: 1 << 19,
             silence: Duration::from_millis(300),
+            hint_rate: 40,
         }
     }
 }
--- a/crates/lavenderseam_core/tests/flow_differential.rs
+++ b/crates/lavenderseam_core/tests/flow_differential.rs
@@ -117,6 +117,7 @@
                 shards: 2,
                 capacity: 4_096,
                 silence: Duration::from_millis(300),
+                hint_rate: 3,
             })
         };
         Self {
--- a/crates/lavenderseam_core/tests/flow_router.rs
+++ b/crates/lavenderseam_core/tests/flow_router.rs
@@ -19,13 +19,18 @@
 /// Highest allowed load of a target over the mean.
 const IMBALANCE_LIMIT: f64 = 1.15;
 
-fn route(router: &Router, packet: &Packet, view: &View, now: Instant) -> Tag {
+/// The target of a packet, and whether it is asked for a hint.
+fn ask(router: &Router, packet: &Packet, view: &View, now: Instant) -> (Tag, bool) {
     match router.packet(packet, view, now) {
-        Action::Forward { target, .. } => target,
+        Action::Forward { target, asks, .. } => (target, asks),
         Action::Drop(reason) => panic!("dropped: {reason}"),
     }
 }
 
+fn route(router: &Router, packet: &Packet, view: &View, now: Instant) -> Tag {
+    ask(router, packet, view, now).0
+}
+
 fn hint(flow: Key, owner: Tag, established: bool, flows: u32) -> Hint {
     Hint {
         flow,
@@ -53,11 +58,18 @@
         let packet = opener(flow, service(0));
         let chosen = random.random_range(0..BALANCERS);
         let other = (chosen + random.random_range(1..BALANCERS)) % BALANCERS;
-        let target = route(&routers[chosen], &packet, &view, now);
-        alike += usize::from(route(&routers[other], &packet, &view, now) == target);
+        let (target, asks) = ask(&routers[chosen], &packet, &view, now);
+        let (repeated, repeated_asks) = ask(&routers[other], &packet, &view, now);
+        alike += usize::from(repeated == target);
+        if repeated_asks {
+            let load = loads.get(&repeated).copied().unwrap_or(0);
+            routers[other].hint(&hint(flow, repeated, false, load), &view, now);
+        }
         let load = loads.entry(target).or_default();
         *load += 1;
-        routers[chosen].hint(&hint(flow, target, false, *load), &view, now);
+        if asks {
+            routers[chosen].hint(&hint(flow, target, false, *load), &view, now);
+        }
         flows.push_back(target);
         if flows.len() > open {
             // Flows live for unequal times: one of the older half ends.
@@ -114,10 +126,10 @@
     for index in start..start + count {
         let now = at(u64::from(index));
         let packet = opener(key(index), service(0));
-        let target = route(router, &packet, view, now);
+        let (target, asks) = ask(router, &packet, view, now);
         if target == silent {
             sent += 1;
-        } else {
+        } else if asks {
             router.hint(&hint(key(index), target, false, 10), view, now);
         }
     }
@@ -156,13 +168,12 @@
     let router = Router::<router::System>::default();
     for index in 0..2_000 {
         let packet = opener(key(index), service(0));
-        let target = route(&router, &packet, &view, at(u64::from(index)));
+        let now = at(u64::from(index));
+        let (target, asks) = ask(&router, &packet, &view, now);
         let owner = if target == tag(0) { tag(1) } else { target };
-        router.hint(
-            &hint(key(index), owner, false, 10),
-            &view,
-            at(u64::from(index)),
-        );
+        if asks {
+            router.hint(&hint(key(index), owner, false, 10), &view, now);
+        }
     }
     let sent = (2_000..2_300)
         .map(|index| opener(key(index), service(0)))
@@ -211,3 +222,32 @@
     }
     expect_that!(router.cached(), le(1_024));
 }
+
+#[gtest]
+fn hints_are_asked_for_within_the_budget() {
+    let view = World::new(3).view();
+    let router = Router::<router::System>::new(router::Settings {
+        hint_rate: 40,
+        ..router::Settings::default()
+    });
+    let asked = (0..10_000)
+        .map(|index| (at(u64::from(index)), opener(key(index), service(0))))
+        .filter(|(now, packet)| ask(&router, packet, &view, *now).1)
+        .count();
+    // What a second allows at once, and then as much each second.
+    expect_that!(asked, all![ge(11 * 40 - 5), le(11 * 40)]);
+}
+
+#[gtest]
+fn a_repeated_opener_asks_and_one_that_never_asked_keeps_its_target() {
+    let view = World::new(3).view();
+    let router = Router::<router::System>::new(router::Settings {
+        hint_rate: 0,
+        ..router::Settings::default()
+    });
+    let packet = opener(key(1), service(0));
+    let (first, asks) = ask(&router, &packet, &view, at(0));
+    expect_that!(asks, eq(false));
+    expect_that!(ask(&router, &packet, &view, at(1_000)), eq((first, true)));
+    expect_that!(route(&router, &packet, &view, at(2_000)), not(eq(first)));
+}
--- a/crates/lavenderseam_wire/benches/seal.rs
+++ b/crates/lavenderseam_wire/benches/seal.rs
@@ -27,6 +27,7 @@
         trail: vec![Tag(u64::MAX / 3)],
         revision: Revision(100_000),
         balancer: SocketAddr::from(([127, 0, 0, 2], 7000)),
+        asks: true,
     }
 }
 
--- a/crates/lavenderseam_wire/src/frame.rs
+++ b/crates/lavenderseam_wire/src/frame.rs
@@ -40,6 +40,8 @@
         pub revision: Revision,
         /// The balancer that took the packet in; hints go there.
         pub balancer: SocketAddr,
+        /// Whether the balancer asks for a hint; it asks for as many as its budget allows.
+        pub asks: bool,
     }
 }
 
--- a/crates/lavenderseam_wire/tests/parsers.rs
+++ b/crates/lavenderseam_wire/tests/parsers.rs
@@ -35,8 +35,9 @@
     let trail = prop::collection::vec(any::<u64>().prop_map(Tag), 0..=TRAIL_LIMIT);
     let kind = prop_oneof![Just(Kind::Opener), Just(Kind::Continuing)];
     let token = prop::option::of(tokens());
-    (addresses, any::<u128>(), kind, token, trail, any::<u64>()).prop_map(
-        |((caller, service, balancer), flow, kind, token, trail, revision)| Forward {
+    let rest = (any::<u64>(), any::<bool>());
+    (addresses, any::<u128>(), kind, token, trail, rest).prop_map(
+        |((caller, service, balancer), flow, kind, token, trail, (revision, asks))| Forward {
             flow: FlowKey(flow),
             caller: plain(caller),
             service: plain(service),
@@ -45,6 +46,7 @@
             trail,
             revision: Revision(revision),
             balancer: plain(balancer),
+            asks,
         },
     )
 }
@@ -207,6 +209,7 @@
         trail: vec![Tag(u64::MAX); TRAIL_LIMIT],
         revision: Revision(u64::MAX),
         balancer: address,
+        asks: true,
     };
     let mut datagram = Vec::new();
     let sealed = Frame::with_payload(forward, &[]).seal(&Key::new([1; 32]), &mut datagram);
