Budget the hints of openers and of packets that walk apart

With one budget the packets that might walk took the requests and drew no hint, so the loads were rarely told. The budget of walks is charged when a hint comes.

--- a/crates/lavenderseam_core/src/flow/router/load.rs
+++ b/crates/lavenderseam_core/src/flow/router/load.rs
@@ -56,7 +56,10 @@
     targets: HashMap<Tag, Load>,
     silence: Duration,
     answered: Instant,
-    budget: Budget,
+    /// For openers.
+    openers: Budget,
+    /// For packets that walked.
+    walks: Budget,
 }
 
 /// Hints that may be asked for; refills steadily up to what a second allows.
@@ -74,11 +77,8 @@
             targets: HashMap::new(),
             silence,
             answered: Instant::default(),
-            budget: Budget {
-                rate: hint_rate,
-                left: u64::from(hint_rate) * HINT,
-                refilled: Instant::default(),
-            },
+            openers: Budget::new(hint_rate),
+            walks: Budget::new(hint_rate),
         }
     }
 
@@ -94,9 +94,15 @@
         self.targets.retain(|tag, _| view.target(*tag).is_some());
     }
 
-    /// Whether another hint may be asked for.
-    pub(super) fn asks(&mut self, now: Instant) -> bool {
-        self.budget.take(now)
+    /// Whether the owner of a packet that may walk is asked for a hint. Most packets don't walk
+    /// and draw none, so the budget is charged when the hint comes.
+    pub(super) fn asks_of_walk(&mut self, now: Instant) -> bool {
+        self.walks.allows(now)
+    }
+
+    /// Notes that a packet that walked has drawn a hint.
+    pub(super) fn walked(&mut self) {
+        self.walks.charge();
     }
 
     /// Chooses a target for an opener, and whether to ask it for a hint; `silent` has left an
@@ -111,8 +117,9 @@
         let target = self.pick(flow, service, silent, now)?;
         // A trial of a suspect makes no sense without an answer.
         let trial = self.is_suspect(target.tag);
-        let asks = self.asks(now) || trial;
+        let asks = self.openers.allows(now) || trial;
         if asks {
+            self.openers.charge();
             self.sent(target.tag, now);
         }
         Some((target, asks))
@@ -215,7 +222,15 @@
 }
 
 impl Budget {
-    fn take(&mut self, now: Instant) -> bool {
+    fn new(rate: u32) -> Self {
+        Self {
+            rate,
+            left: u64::from(rate) * HINT,
+            refilled: Instant::default(),
+        }
+    }
+
+    fn allows(&mut self, now: Instant) -> bool {
         let refill = now.since(self.refilled).as_micros() * u128::from(self.rate);
         let full = u64::from(self.rate) * HINT;
         self.left = u64::try_from(refill)
@@ -223,11 +238,11 @@
             .saturating_add(self.left)
             .min(full);
         self.refilled = self.refilled.max(now);
-        let granted = self.left >= HINT;
-        if granted {
-            self.left -= HINT;
-        }
-        granted
+        self.left >= HINT
+    }
+
+    fn charge(&mut self) {
+        self.left = self.left.saturating_sub(HINT);
     }
 }
 
--- a/crates/lavenderseam_core/src/flow/router/mod.rs
+++ b/crates/lavenderseam_core/src/flow/router/mod.rs
@@ -38,7 +38,7 @@
     pub capacity: usize,
     /// How long a target may leave openers unanswered.
     pub silence: Duration,
-    /// Hints that are asked for in a second.
+    /// Hints that are asked for in a second, for openers and for packets that walk each.
     pub hint_rate: u32,
 }
 
@@ -112,7 +112,11 @@
 
     /// Notes who owns a flow; returns whom to tell that it lost the flow.
     pub fn hint(&self, hint: &Hint, view: &View, now: Instant) -> Option<Yield> {
-        let displaced = self.shard(hint.flow).with(|cache| take_hint(cache, hint));
+        let (displaced, walked) = self.shard(hint.flow).with(|cache| {
+            let held = cache.get(hint.flow).map(|line| line.state);
+            let opened = matches!(held, Some(State::Tentative | State::Doubted));
+            (take_hint(cache, hint), !opened)
+        });
         let (tentative, loser) = match displaced {
             Displaced::Nobody => (None, None),
             Displaced::Tentative(target) => (Some(target), None),
@@ -120,6 +124,9 @@
         };
         self.loads.with(|loads| {
             loads.answered(hint.owner, Some(hint.flows), now);
+            if walked {
+                loads.walked();
+            }
             // Whoever was sent the opener has passed it on, so it is alive.
             if let Some(target) = tentative {
                 loads.answered(target, None, now);
@@ -185,7 +192,7 @@
             return Ok(Choice { target, asks });
         }
         let target = order::first_holder(service, flow, |_| false).ok_or(Reason::NoTarget)?;
-        let asks = self.loads.with(|loads| loads.asks(now));
+        let asks = self.loads.with(|loads| loads.asks_of_walk(now));
         Ok(Choice { target, asks })
     }
 
@@ -326,7 +333,7 @@
             shards: 16,
             capacity: 1 << 19,
             silence: Duration::from_millis(300),
-            hint_rate: 40,
+            hint_rate: 30,
         }
     }
 }
