Forget balancers that stay unreachable for ten minutes

Without it the records of balancers that crashed for good filled the ranks of the watchers and the tree. A first try trusted only processes of the balancer's own region and missed those that are fed from another region; the region now counts as reachable if another push into it arrived of late.

--- a/crates/lavenderseam_control/src/shared.rs
+++ b/crates/lavenderseam_control/src/shared.rs
@@ -7,6 +7,7 @@
 use lavenderseam_core::catalog::{Entry, Revision};
 use lavenderseam_core::record::{Id, Kind};
 use lavenderseam_core::relay::{Action, Answer, Confirmation, Event, MemberId, Node, Pull, Push};
+use lavenderseam_platform::write::{self, Outcome, Policy};
 use lavenderseam_platform::{Error, List, Store};
 use lavenderseam_telemetry::{Log, Metrics};
 use parking_lot::Mutex;
@@ -82,6 +83,7 @@
                 Action::List => self.start(|shared, ()| shared.list(), ()),
                 Action::Watch { after, wait } => self.start(Self::watch, (after, wait)),
                 Action::Changed(entries) => self.changed(entries.into()),
+                Action::Forget { id, revision } => self.start(Self::forget, (id, revision)),
                 Action::Close => self.close(relay),
                 Action::Open(by) => self.open(relay, by),
             }
@@ -141,6 +143,23 @@
         });
     }
 
+    /// Deletes the record of a balancer that is gone, and its verdict.
+    async fn forget(self: Arc<Self>, (id, revision): (Id, Revision)) {
+        self.log
+            .info(format_args!("forgets {id}, unreachable for long"));
+        let verdict = Id::new(Kind::Verdict, &id.name);
+        match self.store.delete(&id, revision).await {
+            Ok(deleted) => self.handle(Event::Accepted(Entry::new(id, deleted))),
+            // Someone else deleted it, or the balancer has announced itself anew.
+            Err(error) => return self.log.debug(format_args!("{id} is kept: {error}")),
+        }
+        let policy = Policy::default();
+        let deleted = write::update(&self.store, &verdict, policy, |_| write::Change::Delete);
+        if let Ok(Outcome::Written(entry)) = deleted.await {
+            self.handle(Event::Accepted(entry));
+        }
+    }
+
     fn stored(self: &Arc<Self>, called: Result<List, Error>, event: impl FnOnce(List) -> Event) {
         self.metrics.count("store.calls", 1);
         match called {
--- a/crates/lavenderseam_core/src/relay/node/forward.rs
+++ b/crates/lavenderseam_core/src/relay/node/forward.rs
@@ -4,6 +4,7 @@
 
 use super::{Action, Node};
 use crate::catalog::Entry;
+use crate::record::Kind;
 use crate::relay::age;
 use crate::relay::{MemberId, Push, Stamp};
 use crate::time::Instant;
@@ -13,6 +14,11 @@
 /// Gain of freshness that is worth a stamp of its own.
 const STAMP_STEP: Duration = Duration::from_secs(2);
 
+/// Time for which a balancer is unreachable before its record is deleted.
+const FORGET_AFTER: Duration = Duration::from_secs(600);
+/// Age of a process' own records at which it surely isn't the one that is cut off.
+const CONNECTED_AGE: Duration = Duration::from_secs(10);
+
 impl Node {
     pub(super) fn pushed(&mut self, push: Push, now: Instant, actions: &mut Vec<Action>) {
         self.heard = now;
@@ -38,12 +44,54 @@
         }
     }
 
-    pub(super) fn delivered(&mut self, to: MemberId, arrived: bool, now: Instant) {
-        if let Some(outbox) = self.outboxes.get_mut(&to) {
-            outbox.delivered(arrived, now);
+    pub(super) fn delivered(
+        &mut self,
+        to: MemberId,
+        arrived: bool,
+        now: Instant,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(outbox) = self.outboxes.get_mut(&to) else {
+            return;
+        };
+        outbox.delivered(arrived, now);
+        if outbox.failing_for(now) < FORGET_AFTER {
+            return;
+        }
+        outbox.excuse();
+        if self.is_gone(to, now) {
+            actions.extend(self.forget(to));
         }
     }
 
+    /// Whether a member that can't be reached is a balancer, and neither this process nor the
+    /// member's region is cut off.
+    fn is_gone(&self, id: MemberId, now: Instant) -> bool {
+        let Some(member) = self.members.get(id).filter(|member| member.balancer) else {
+            return false;
+        };
+        let connected = self.age(now).is_some_and(|age| age <= CONNECTED_AGE);
+        let region = &member.region;
+        let near = |id: &MemberId| {
+            self.members
+                .get(*id)
+                .is_some_and(|other| other.region == *region)
+        };
+        let mut others = self.outboxes.iter().filter(|(other, _)| near(other));
+        let reached = others.any(|(_, outbox)| outbox.arrived_within(CONNECTED_AGE, now));
+        connected && (reached || *region == self.own.region)
+    }
+
+    fn forget(&self, balancer: MemberId) -> Option<Action> {
+        let entries = self.catalog.entries();
+        let mut balancers = entries.filter(|entry| entry.id.kind == Kind::Balancer);
+        let held = balancers.find(|entry| MemberId::new(&entry.id) == balancer)?;
+        Some(Action::Forget {
+            id: held.id.clone(),
+            revision: held.revision,
+        })
+    }
+
     /// Notes that the records are as fresh, and stamps the children if that is news.
     pub(super) fn freshen(&mut self, fresh: Instant) {
         if self.fresh.is_some_and(|held| held >= fresh) {
--- a/crates/lavenderseam_core/src/relay/node/mod.rs
+++ b/crates/lavenderseam_core/src/relay/node/mod.rs
@@ -14,6 +14,7 @@
 use super::{Answer, Bucket, Member, MemberId, Members, Pull, Push, Stamp, Tree, Watchers};
 use crate::catalog::{Applied, Catalog, Entry, Revision};
 use crate::rank::score;
+use crate::record::Id;
 use crate::time::Instant;
 use repair::Repair;
 use store::Watching;
@@ -100,6 +101,14 @@
     },
     /// These records have changed: compile a new view.
     Changed(Vec<Entry>),
+    /// Delete the record of a balancer that has been unreachable for long, if it still has this
+    /// revision, and then its verdict. A balancer that lives announces itself anew.
+    Forget {
+        /// The balancer's record.
+        id: Id,
+        /// Its revision.
+        revision: Revision,
+    },
     /// Stop acting on the records: the process was paused.
     Close,
     /// Act on the records.
@@ -179,7 +188,7 @@
             Event::Outdated => self.watching.outdated(),
             Event::StoreFailed { pause } => self.store_failed(pause, now),
             Event::Pushed(push) => self.pushed(push, now, &mut actions),
-            Event::Delivered { to, arrived } => self.delivered(to, arrived, now),
+            Event::Delivered { to, arrived } => self.delivered(to, arrived, now, &mut actions),
             Event::Answered {
                 address,
                 asked,
--- a/crates/lavenderseam_core/src/relay/outbox.rs
+++ b/crates/lavenderseam_core/src/relay/outbox.rs
@@ -24,6 +24,9 @@
     sent: Option<Vec<Id>>,
     failures: u32,
     retry_at: Instant,
+    /// When the first push of those that failed in a row was sent.
+    failing_since: Option<Instant>,
+    arrived: Option<Instant>,
 }
 
 impl Outbox {
@@ -55,13 +58,33 @@
         Some(ids)
     }
 
+    /// Time for which no push arrived.
+    pub(crate) fn failing_for(&self, now: Instant) -> Duration {
+        self.failing_since
+            .map_or(Duration::ZERO, |since| now.since(since))
+    }
+
+    /// Whether a push arrived within a time.
+    pub(crate) fn arrived_within(&self, span: Duration, now: Instant) -> bool {
+        self.arrived
+            .is_some_and(|arrived| now.since(arrived) <= span)
+    }
+
+    /// Counts that time anew.
+    pub(crate) fn excuse(&mut self) {
+        self.failing_since = None;
+    }
+
     /// Takes the outcome of the push on its way.
     pub(crate) fn delivered(&mut self, arrived: bool, now: Instant) {
         let sent = self.sent.take().unwrap_or_default();
         if arrived {
             self.failures = 0;
+            self.failing_since = None;
+            self.arrived = Some(now);
             return;
         }
+        self.failing_since.get_or_insert(now);
         self.failures += 1;
         self.retry_at = now + RETRY * (1 << self.failures.min(4));
         if self.failures <= FAILURE_LIMIT {
--- a/crates/lavenderseam_core/tests/relay.rs
+++ b/crates/lavenderseam_core/tests/relay.rs
@@ -193,3 +193,18 @@
     let took = fleet.until(seconds(9), |fleet| fleet.in_force(&entry.id));
     assert_that!(took, some(lt(seconds(9))));
 }
+
+#[gtest]
+fn a_dead_balancer_is_forgotten_and_a_parted_one_is_not() {
+    let mut fleet = settled(30, 2, 13);
+    fleet.checking = false;
+    fleet.processes[10].alive = false;
+    fleet.run(seconds(900));
+    let id = Id::new(Kind::Balancer, "balancer-10");
+    assert_that!(fleet.store.present[&id].document, none());
+    assert_that!(fleet.converged(), eq(true));
+    fleet.parted = true;
+    let held = fleet.store.list().len();
+    fleet.run(seconds(1800));
+    assert_that!(fleet.store.list().len(), eq(held));
+}
