--- a/crates/lavenderseam_agent/src/plugin.rs
+++ b/crates/lavenderseam_agent/src/plugin.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use lavenderseam_app::{App, Error, Plugin};
-use lavenderseam_control::{Announcement, Gate, Identity, Methods, Views};
+use lavenderseam_control::{Announcement, Gate, Identity, Methods, Remote, Views};
 use lavenderseam_core::admission::Bounds;
 use lavenderseam_core::flow::Owner;
 use lavenderseam_core::id::Tag;
@@ -21,6 +21,7 @@
 use crate::ledger::Ledger;
 use crate::peer::Peer;
 use crate::probe::Prober;
+use crate::reload;
 use crate::remote::{self, Inquirer};
 use crate::server::{Server, Stage};
 use crate::stage::Follower;
@@ -77,7 +78,7 @@
             backend: Backend::new(self.settings.backend),
             gauge: Arc::clone(&gauge),
             ledger: Arc::clone(&ledger),
-            inquirer: Inquirer::new(&identity.key, Arc::clone(&views)),
+            inquirer: Inquirer::new(app.resource::<Remote>()?, Arc::clone(&views)),
             flows: Arc::new(flows),
             stage: watch::Sender::new(Stage::Serving),
             metrics: app.resource::<Metrics>()?,
@@ -92,9 +93,7 @@
         ));
         endpoints.check().map_err(failed)?;
         let methods = app.resource::<Methods>()?;
-        if let Some(module) = remote::module(&identity.key, ledger) {
-            methods.register(module);
-        }
+        methods.register(remote::module(&identity.key, ledger).map_err(failed)?);
         let peer = Peer {
             socket: bind(identity.peer).map_err(failed)?,
             key: identity.key.derive("frames"),
@@ -140,28 +139,12 @@
     let mut halt = app.shutdown();
     app.spawn("certificate reload", async move {
         tokio::select! {
-            () = reload(&endpoints) => {}
+            () = reload::run(&endpoints) => {}
             () = halt.halted() => {}
         }
     });
 }
 
-/// Reads the certificate again on SIGHUP.
-async fn reload(endpoints: &Endpoints) {
-    use tokio::signal::unix::{SignalKind, signal};
-    let log = Log::new(PART);
-    let Ok(mut hangup) = signal(SignalKind::hangup()) else {
-        log.warn("SIGHUP can't be caught; the certificate is never read again");
-        return std::future::pending().await;
-    };
-    while hangup.recv().await.is_some() {
-        match endpoints.reload() {
-            Ok(()) => log.info("certificate has been read again"),
-            Err(error) => log.error(format_args!("certificate stays as it was: {error}")),
-        }
-    }
-}
-
 fn bind(address: SocketAddr) -> std::io::Result<UdpSocket> {
     let socket = socket2::Socket::new(
         socket2::Domain::for_address(address),
