--- a/crates/lavenderseam_agent/src/plugin.rs
+++ b/crates/lavenderseam_agent/src/plugin.rs
@@ -83,7 +83,7 @@
             metrics: app.resource::<Metrics>()?,
             log: Log::new(PART),
         });
-        let egress = Egress::new(self.settings.egress).map_err(failed)?;
+        let egress = Egress::new(self.settings.egress, identity.peer.ip()).map_err(failed)?;
         let endpoints = Arc::new(Endpoints::new(
             &identity.key,
             target,
--- a/crates/lavenderseam_agent/src/transport/egress.rs
+++ b/crates/lavenderseam_agent/src/transport/egress.rs
@@ -1,7 +1,7 @@
 //! Packets from the agent to the callers, through the fabric.
 
 use std::io;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 
 use lavenderseam_wire::fabric::{Ends, Packet};
@@ -17,14 +17,10 @@
 }
 
 impl Egress {
-    /// Sends to the fabric at `fabric` from an ephemeral port of the same address family.
-    pub(crate) fn new(fabric: SocketAddr) -> io::Result<Self> {
-        let any: SocketAddr = if fabric.is_ipv4() {
-            ([0, 0, 0, 0], 0).into()
-        } else {
-            ([0_u16; 8], 0).into()
-        };
-        let socket = std::net::UdpSocket::bind(any)?;
+    /// Sends to the fabric at `fabric` from an ephemeral port of the agent's own address.
+    pub(crate) fn new(fabric: SocketAddr, own: IpAddr) -> io::Result<Self> {
+        let local = SocketAddr::new(own, 0);
+        let socket = std::net::UdpSocket::bind(local)?;
         socket.set_nonblocking(true)?;
         Ok(Self {
             socket: Arc::new(UdpSocket::from_std(socket)?),
