Act on records only once they are confirmed after a pause

Cause: after 15 s without an answer a process that had been paused acted on what it held. The gate also counted as renewed at the end of a tick, so a pause within the tick left it open for one more; it is renewed by a clock reading taken before the look. Conclusion: the gate stays closed until the store or a process that wasn't paused confirms the records.

--- a/crates/lavenderseam_control/src/gate.rs
+++ b/crates/lavenderseam_control/src/gate.rs
@@ -37,24 +37,36 @@
 
     /// Opens or closes the gate, and renews it.
     pub fn set(&self, open: bool) {
-        self.renew();
+        self.renew(self.now());
         self.open.store(open, Ordering::Release);
     }
 
-    /// Notes that the process runs.
-    pub(crate) fn renew(&self) {
-        self.renewed.store(self.elapsed(), Ordering::Release);
+    /// Opens the gate for as long as it is renewed.
+    pub(crate) fn open(&self) {
+        self.open.store(true, Ordering::Release);
     }
 
-    /// Time since the gate was last renewed.
-    fn lapse(&self) -> Duration {
-        let renewed = self.renewed.load(Ordering::Acquire);
-        Duration::from_millis(self.elapsed().saturating_sub(renewed))
+    /// Closes the gate.
+    pub(crate) fn close(&self) {
+        self.open.store(false, Ordering::Release);
     }
 
-    fn elapsed(&self) -> u64 {
+    /// The gate's clock, in milliseconds.
+    pub(crate) fn now(&self) -> u64 {
         u64::try_from(self.origin.elapsed().as_millis()).unwrap_or(u64::MAX)
     }
+
+    /// Notes that the process looked for a pause at a reading of the gate's clock. The reading is
+    /// taken before the look, so that a pause between the two leaves the gate closed.
+    pub(crate) fn renew(&self, looked: u64) {
+        self.renewed.store(looked, Ordering::Release);
+    }
+
+    /// Time since the gate was last renewed.
+    fn lapse(&self) -> Duration {
+        let renewed = self.renewed.load(Ordering::Acquire);
+        Duration::from_millis(self.now().saturating_sub(renewed))
+    }
 }
 
 impl Default for Gate {
--- a/crates/lavenderseam_control/src/plugin.rs
+++ b/crates/lavenderseam_control/src/plugin.rs
@@ -171,9 +171,10 @@
     loop {
         tokio::select! {
             _ = interval.tick() => {
+                let looked = shared.gate.now();
                 shared.clock.look();
                 shared.handle(Event::Tick);
-                shared.gate.renew();
+                shared.gate.renew(looked);
             }
             () = shutdown.halted() => return,
         }
--- a/crates/lavenderseam_control/src/publish.rs
+++ b/crates/lavenderseam_control/src/publish.rs
@@ -82,6 +82,6 @@
 fn open<S: Store>(shared: &Shared<S>, pauses: u64) {
     let relay = shared.relay.lock();
     if relay.pauses == pauses && relay.node.is_open() {
-        shared.gate.set(true);
+        shared.gate.open();
     }
 }
--- a/crates/lavenderseam_control/src/shared.rs
+++ b/crates/lavenderseam_control/src/shared.rs
@@ -195,7 +195,7 @@
 
     fn close(&self, relay: &mut Relay) {
         relay.pauses += 1;
-        self.gate.set(false);
+        self.gate.close();
         self.metrics.count("gate.closed", 1);
         self.log
             .warn("the process was paused; it forwards nothing until its records are confirmed");
@@ -205,11 +205,6 @@
         match by {
             Confirmation::Store => self.log.info("the store confirmed the records"),
             Confirmation::Peer(_) => self.log.info("a peer confirmed the records"),
-            Confirmation::GaveUp => {
-                self.metrics.count("gate.gave_up", 1);
-                self.log
-                    .warn("no one confirms the records; acting on what is held");
-            }
         }
         let _ = self.changes.send(Change::Open(relay.pauses));
     }
--- a/crates/lavenderseam_core/src/relay/gap.rs
+++ b/crates/lavenderseam_core/src/relay/gap.rs
@@ -1,4 +1,8 @@
 //! Detects that the process was paused, and holds it back until its records are confirmed.
+//!
+//! There is no time limit: a process that acted on unconfirmed records might send to a failure
+//! domain that was taken out during its pause. It stays closed only while neither the store nor any
+//! process that wasn't paused can be reached.
 
 use std::time::Duration;
 
@@ -7,8 +11,6 @@
 
 /// Time between two events after which a process counts as paused.
 pub const PAUSE_LIMIT: Duration = Duration::from_millis(1500);
-/// Time after which a process that no one can confirm acts on the records it has.
-const GIVE_UP: Duration = Duration::from_secs(15);
 
 /// What lets a process act on its records.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -17,9 +19,6 @@
     Store,
     /// A peer that wasn't paused answered after the pause.
     Peer(MemberId),
-    /// No one answered in time. The process acts on what it holds, which may be old: all others
-    /// may have been paused together with it.
-    GaveUp,
 }
 
 /// Whether the process was paused and what came after.
@@ -67,15 +66,4 @@
         }
         confirms
     }
-
-    /// Whether waiting is given up now.
-    pub(crate) fn give_up(&mut self, now: Instant) -> bool {
-        let late = self
-            .resumed
-            .is_some_and(|resumed| now.since(resumed) >= GIVE_UP);
-        if late {
-            self.resumed = None;
-        }
-        late
-    }
 }
--- a/crates/lavenderseam_core/src/relay/node/mod.rs
+++ b/crates/lavenderseam_core/src/relay/node/mod.rs
@@ -266,9 +266,6 @@
             self.derive();
         }
         self.pull_due(now, actions);
-        if !self.catalog.is_empty() && self.gap.give_up(now) {
-            actions.push(Action::Open(Confirmation::GaveUp));
-        }
     }
 
     /// Derives the process' place from the members.
