Stamp the heads of the tree from one watcher each

Every watcher stamped every head every two seconds, which made the idle traffic of the heads the largest of all. A trial that let only two watchers push to a head lost changes while two watchers were paused (a_paused_watcher_is_not_needed) and was dropped: all three push records, one stamps, every three seconds.

--- a/crates/lavenderseam_core/src/relay/node/forward.rs
+++ b/crates/lavenderseam_core/src/relay/node/forward.rs
@@ -12,7 +12,7 @@
 /// Most records taken at once that are pushed on one by one; more are left to repair.
 const FORWARD_LIMIT: usize = 256;
 /// Gain of freshness that is worth a stamp of its own.
-const STAMP_STEP: Duration = Duration::from_secs(2);
+const STAMP_STEP: Duration = Duration::from_secs(3);
 
 /// Time for which a balancer is unreachable before its record is deleted.
 const FORGET_AFTER: Duration = Duration::from_secs(600);
--- a/crates/lavenderseam_core/src/relay/node/mod.rs
+++ b/crates/lavenderseam_core/src/relay/node/mod.rs
@@ -278,7 +278,7 @@
         let feeds = self.watching.wanted || self.watchers.first().contains(&self.own.id);
         self.tree = Tree::new(&self.own, &self.members, &self.watchers);
         if feeds {
-            self.tree.add_tops(&self.own, &self.members);
+            self.tree.add_tops(&self.own, &self.members, &self.watchers);
         }
         let members = &self.members;
         self.outboxes.retain(|id, _| members.get(*id).is_some());
--- a/crates/lavenderseam_core/src/relay/node/repair.rs
+++ b/crates/lavenderseam_core/src/relay/node/repair.rs
@@ -14,7 +14,7 @@
 /// Time for which differing digests are left to the pushes on their way.
 const REPAIR_DELAY: Duration = Duration::from_millis(500);
 /// Silence after which a member asks another process.
-const SILENCE: Duration = Duration::from_secs(3);
+const SILENCE: Duration = Duration::from_secs(5);
 /// The same for a process whose own record isn't known, so that no one pushes to it.
 const SILENCE_UNLISTED: Duration = Duration::from_secs(1);
 /// Pulls on their way at a time.
--- a/crates/lavenderseam_core/src/relay/node/store.rs
+++ b/crates/lavenderseam_core/src/relay/node/store.rs
@@ -13,7 +13,7 @@
 /// Longest wait of one watch; bounds the age of what an idle store tells.
 const WAIT: Duration = Duration::from_secs(1);
 /// Silence of the better ranked watchers after which a process goes on watching.
-const HANDOVER: Duration = Duration::from_secs(5);
+const HANDOVER: Duration = Duration::from_secs(6);
 /// Time that a process which starts leaves its peers to answer before it asks the store.
 const PEERS_FIRST: Duration = Duration::from_secs(1);
 
--- a/crates/lavenderseam_core/src/relay/tree.rs
+++ b/crates/lavenderseam_core/src/relay/tree.rs
@@ -8,9 +8,9 @@
 
 use std::collections::BTreeMap;
 
-use super::{Member, MemberId, Members, Watchers};
+use super::{Member, MemberId, Members, WATCHERS, Watchers};
 use crate::id;
-use crate::rank::{Cells, score};
+use crate::rank::{Cells, score, top};
 
 /// Members of a level for each member of the level above, on average.
 pub const FAN_OUT: u64 = 6;
@@ -51,7 +51,7 @@
         };
         self.parents = match levels.members.get(at + 1) {
             Some(above) => parents(&Cells::new(above.iter().copied()), own.id),
-            None => own_watchers(own, watchers),
+            None => feeders(own.id, watchers),
         };
         let Some(below) = at.checked_sub(1) else {
             return;
@@ -65,17 +65,21 @@
         }
     }
 
-    /// Adds the top level of every region, for a process that watches the store.
-    pub fn add_tops(&mut self, own: &Member, members: &Members) {
+    /// Adds the top levels of all regions, for a process that watches the store.
+    pub fn add_tops(&mut self, own: &Member, members: &Members, watchers: &Watchers) {
+        let regular = watchers.first().contains(&own.id);
         let mut regions: Vec<&id::Region> = members.iter().map(|member| &member.region).collect();
         regions.sort_unstable();
         regions.dedup();
         for region in regions {
             let levels = Levels::new(own, members, region);
             let top = levels.members.last().map(Vec::as_slice).unwrap_or_default();
-            let others = top.iter().filter(|member| **member != own.id.0);
-            self.children
-                .extend(others.map(|member| (MemberId(*member), true)));
+            for head in top.iter().filter(|head| **head != own.id.0) {
+                let head = MemberId(*head);
+                // Every watcher feeds every head, so that two of them may be paused; one stamps it.
+                let first = feeders(head, watchers).first() == Some(&own.id);
+                self.children.insert(head, first || !regular);
+            }
         }
     }
 }
@@ -128,10 +132,13 @@
         .collect()
 }
 
-fn own_watchers(own: &Member, watchers: &Watchers) -> Vec<MemberId> {
-    let others = watchers
+/// The watchers that feed a member of a top level, the preferred one first.
+fn feeders(head: MemberId, watchers: &Watchers) -> Vec<MemberId> {
+    let others: Vec<MemberId> = watchers
         .first()
         .iter()
-        .filter(|watcher| **watcher != own.id);
-    others.copied().take(PARENTS).collect()
+        .copied()
+        .filter(|watcher| *watcher != head)
+        .collect();
+    top(head.0, &others, WATCHERS, |watcher| watcher.0)
 }
--- a/crates/lavenderseam_core/src/relay/watcher.rs
+++ b/crates/lavenderseam_core/src/relay/watcher.rs
@@ -10,7 +10,7 @@
 /// Key that ranks the processes.
 const RANK_KEY: u64 = 0x7761_7463_6865_7273;
 /// Silence after which the next process in rank watches the store.
-const SILENCE_LIMIT: Duration = Duration::from_secs(5);
+const SILENCE_LIMIT: Duration = Duration::from_secs(6);
 /// Further wait for each rank. It bounds how many processes turn to the store each second,
 /// however many there are.
 const RANK_STEP: Duration = Duration::from_millis(20);
