Count control traffic and warm deployments up before a run

Control traffic is counted by the kernel, for each connection that a daemon opens to remote calls or to the object API.

--- a/crates/lavenderseam_bench/src/launcher/cluster.rs
+++ b/crates/lavenderseam_bench/src/launcher/cluster.rs
@@ -224,6 +224,13 @@
         Ok(self.network.agent_peer(placement.index).ip())
     }
 
+    /// Whether a process is a balancer or an agent.
+    pub(crate) fn is_daemon(&self, process: &str) -> bool {
+        let mut balancers = 0..self.deployment.balancers;
+        let is_balancer = balancers.any(|index| Deployment::balancer_name(index) == process);
+        is_balancer || process.starts_with("agent-")
+    }
+
     /// Names and addresses for remote calls of all daemons.
     #[must_use]
     pub fn daemons(&self) -> Vec<(String, SocketAddr)> {
--- a/crates/lavenderseam_bench/src/launcher/network.rs
+++ b/crates/lavenderseam_bench/src/launcher/network.rs
@@ -152,6 +152,12 @@
         self.at(TARGET + index, CONTROL_PORT)
     }
 
+    /// Ports of remote calls and of the object API.
+    #[must_use]
+    pub const fn control_ports(&self) -> [u16; 2] {
+        [RPC_PORT, STORE_PORT]
+    }
+
     fn at(&self, last: usize, port: u16) -> SocketAddr {
         let last = u8::try_from(last).unwrap_or(u8::MAX);
         let address = Ipv4Addr::new(127, self.block[0], self.block[1], last);
--- a/crates/lavenderseam_bench/src/launcher/process.rs
+++ b/crates/lavenderseam_bench/src/launcher/process.rs
@@ -4,8 +4,10 @@
 use std::os::unix::process::{CommandExt, ExitStatusExt};
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::Arc;
 use std::time::Duration;
 
+use parking_lot::Mutex;
 use tokio::time::{Instant, sleep};
 
 use crate::Error;
@@ -32,6 +34,7 @@
     arguments: Vec<String>,
     log: PathBuf,
     child: Option<Child>,
+    id: Arc<Mutex<Option<u32>>>,
 }
 
 impl Process {
@@ -44,6 +47,7 @@
             arguments,
             log,
             child: None,
+            id: Arc::default(),
         }
     }
 
@@ -59,6 +63,12 @@
         self.child.as_ref().map(Child::id)
     }
 
+    /// Its process id at the latest start, for those who watch it while it is started again.
+    #[must_use]
+    pub(crate) fn latest_id(&self) -> Arc<Mutex<Option<u32>>> {
+        Arc::clone(&self.id)
+    }
+
     /// Starts it, or starts it again.
     ///
     /// # Errors
@@ -83,7 +93,9 @@
             .stdout(output)
             .stderr(log);
         die_with_parent(&mut command);
-        self.child = Some(command.spawn().map_err(failed)?);
+        let child = command.spawn().map_err(failed)?;
+        *self.id.lock() = Some(child.id());
+        self.child = Some(child);
         Ok(())
     }
 
--- a/crates/lavenderseam_bench/src/run/mod.rs
+++ b/crates/lavenderseam_bench/src/run/mod.rs
@@ -9,6 +9,7 @@
 mod sample;
 #[cfg(test)]
 mod tests;
+mod traffic;
 mod work;
 
 pub use applied::{Applied, Log};
--- a/crates/lavenderseam_bench/src/run/work.rs
+++ b/crates/lavenderseam_bench/src/run/work.rs
@@ -37,13 +37,14 @@
 }
 
 impl Work {
-    /// Reads the journals of all backend servers of a cluster.
-    pub(crate) fn read_all(cluster: &Cluster) -> Result<Vec<Self>, Error> {
-        let read = |placement: &Placement| Self::read(cluster, placement);
+    /// Reads the journals of all backend servers of a cluster; requests before a time are left
+    /// out, runs of edits and overloads are not.
+    pub(crate) fn read_all(cluster: &Cluster, start_ms: u64) -> Result<Vec<Self>, Error> {
+        let read = |placement: &Placement| Self::read(cluster, placement, start_ms);
         cluster.placements().iter().map(read).collect()
     }
 
-    fn read(cluster: &Cluster, placement: &Placement) -> Result<Self, Error> {
+    fn read(cluster: &Cluster, placement: &Placement, start_ms: u64) -> Result<Self, Error> {
         let mut work = Self {
             placement: placement.clone(),
             arrivals: Vec::new(),
@@ -54,6 +55,7 @@
         };
         for line in Journal::read(&cluster.journal(placement))? {
             match line {
+                Line::Arrival(at) | Line::Began(at) if at < start_ms => {}
                 Line::Arrival(at) => work.arrivals.push(at),
                 Line::Began(_) => work.ran += 1,
                 Line::Run { id, .. } => work.edits.push(id),
--- a/crates/lavenderseam_bench/src/schedule/draw.rs
+++ b/crates/lavenderseam_bench/src/schedule/draw.rs
@@ -3,6 +3,7 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
+use super::experiment::WARM_UP_SECONDS;
 use super::{Action, Bound, Expectation, Experiment, Fault, Load, Subject};
 use crate::launcher::Deployment;
 use crate::standins::backend::Lie;
@@ -43,6 +44,7 @@
         about: format!("two faults drawn by seed {seed}"),
         ci: false,
         deployment,
+        warm_up_seconds: WARM_UP_SECONDS,
         seconds: SECONDS,
         load,
         faults,
