--- /dev/null
+++ b/crates/lavenderseam_core/tests/conformance_ownership.rs
@@ -0,0 +1,317 @@
+//! The steps of `model/ownership.pml` against the real routers and owners: every sequence up to a
+//! bound, with unequal views.
+
+#![expect(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
+
+mod explorer;
+mod world;
+
+use explorer::{Path, explore};
+use googletest::prelude::*;
+use lavenderseam_core::catalog::Revision;
+use lavenderseam_core::flow::owner::{Action, Arrival};
+use lavenderseam_core::flow::router::{Action as Routed, Settings};
+use lavenderseam_core::flow::{Hint, Key, Kind, Owner, Packet, Router, Token};
+use lavenderseam_core::id::Tag;
+use lavenderseam_core::time::Instant;
+use lavenderseam_core::view::View;
+use world::{World, continuing, domain, group, key, opener, service, tag};
+
+const AGENTS: usize = 3;
+const BALANCERS: usize = 2;
+const OPENERS: u32 = 2;
+const CONTINUING: u32 = 2;
+const STEPS: usize = 9;
+const NOW: Instant = Instant(1_000);
+
+/// A packet or message on its way.
+#[derive(Clone)]
+enum Sent {
+    Forward {
+        agent: usize,
+        balancer: usize,
+        packet: Packet,
+        mark: u32,
+        trail: Vec<Tag>,
+        revision: Revision,
+    },
+    Hint(usize, Hint),
+    Yield(usize),
+    Answer(u32),
+    Reset(u32),
+}
+
+struct Fleet<'a> {
+    tokens: bool,
+    views: &'a [View; 2],
+    routers: [Router; BALANCERS],
+    owners: Vec<Owner>,
+    /// The connection that an agent's transport holds; 0 if none.
+    connections: [u32; AGENTS],
+    marks: u32,
+    owner_of: Vec<usize>,
+    bag: Vec<Sent>,
+    follows: u32,
+    openers: u32,
+    sent: u32,
+    /// The established connection and its agent.
+    held: Option<(u32, usize)>,
+}
+
+fn flow() -> Key {
+    key(1)
+}
+
+fn agent_of(found: Tag) -> usize {
+    (0..AGENTS).find(|index| tag(*index) == found).unwrap()
+}
+
+impl<'a> Fleet<'a> {
+    fn new(views: &'a [View; 2], tokens: bool) -> Self {
+        let settings = Settings {
+            shards: 1,
+            capacity: 8,
+            ..Settings::default()
+        };
+        let owner = |index| Owner::new(tag(index), group(0), domain(index));
+        Self {
+            tokens,
+            views,
+            routers: [Router::new(settings), Router::new(settings)],
+            owners: (0..AGENTS).map(owner).collect(),
+            connections: [0; AGENTS],
+            marks: 0,
+            owner_of: vec![0],
+            bag: Vec::new(),
+            follows: 0,
+            openers: 0,
+            sent: 0,
+            held: None,
+        }
+    }
+
+    /// Agent 1 and balancer 1 hold the older view.
+    fn view(&self, process: usize) -> &'a View {
+        &self.views[usize::from(process == 1)]
+    }
+
+    fn step(&mut self, path: &mut Path) {
+        let may_open = self.follows == 0 && self.openers < OPENERS;
+        let may_send = self.follows != 0 && self.sent < CONTINUING;
+        let sources = usize::from(may_open || may_send) * BALANCERS;
+        let count = sources + self.bag.len();
+        if count == 0 {
+            return;
+        }
+        let chosen = path.choose(count);
+        if chosen >= sources {
+            let sent = self.bag.remove(chosen - sources);
+            self.take(sent, path);
+        } else if may_open {
+            self.openers += 1;
+            self.enter(chosen, opener(flow(), service(0)), 0);
+        } else {
+            self.sent += 1;
+            let owner = tag(self.owner_of[self.follows as usize]);
+            let nonce = self.follows;
+            let token = self.tokens.then_some(Token { owner, nonce });
+            let packet = Packet {
+                token,
+                ..continuing(flow(), service(0))
+            };
+            self.enter(chosen, packet, self.follows);
+        }
+        self.check();
+    }
+
+    /// A balancer takes a packet of the caller in.
+    fn enter(&mut self, balancer: usize, packet: Packet, mark: u32) {
+        let view = self.view(balancer);
+        let Routed::Forward { target, .. } = self.routers[balancer].packet(&packet, view, NOW)
+        else {
+            return;
+        };
+        self.bag.push(Sent::Forward {
+            agent: agent_of(target),
+            balancer,
+            packet,
+            mark,
+            trail: Vec::new(),
+            revision: view.revision(),
+        });
+    }
+
+    fn take(&mut self, sent: Sent, path: &mut Path) {
+        match sent {
+            Sent::Forward { agent, packet, .. } if packet.kind == Kind::Opener => {
+                let admits = self.connections[agent] != 0 || path.choose(2) == 0;
+                self.arrive(&sent, admits);
+            }
+            Sent::Forward { .. } => self.arrive(&sent, false),
+            Sent::Hint(balancer, hint) => {
+                let view = self.view(balancer);
+                if let Some(order) = self.routers[balancer].hint(&hint, view, NOW) {
+                    self.bag.push(Sent::Yield(agent_of(order.loser)));
+                }
+            }
+            Sent::Yield(agent) => {
+                if self.owners[agent].yielded(flow()) {
+                    self.connections[agent] = 0;
+                }
+            }
+            Sent::Answer(mark) if self.follows == 0 => self.follows = mark,
+            Sent::Reset(mark) if self.follows == mark => self.follows = 0,
+            Sent::Answer(_) | Sent::Reset(_) => {}
+        }
+    }
+
+    fn arrive(&mut self, sent: &Sent, admits: bool) {
+        let Sent::Forward {
+            agent,
+            balancer,
+            packet,
+            mark,
+            trail,
+            revision,
+        } = sent
+        else {
+            return;
+        };
+        let arrival = Arrival {
+            packet: *packet,
+            trail,
+            revision: *revision,
+        };
+        let view = self.view(*agent);
+        let decision = self.owners[*agent].arrival(&arrival, view, NOW, admits);
+        if let Some(hint) = decision.hint {
+            self.bag.push(Sent::Hint(*balancer, hint));
+        }
+        match decision.action {
+            Action::Deliver { opened } => self.deliver(sent, opened),
+            Action::Pass {
+                next,
+                trail: visited,
+                revision,
+                ..
+            } => {
+                assert_eq!(visited.len(), trail.len() + 1);
+                assert!(visited.len() <= AGENTS && !visited.contains(&next));
+                self.bag.push(Sent::Forward {
+                    agent: agent_of(next),
+                    balancer: *balancer,
+                    packet: *packet,
+                    mark: *mark,
+                    trail: visited,
+                    revision,
+                });
+            }
+            Action::Reset => self.reset(*mark),
+            Action::Refuse | Action::Drop(_) => {}
+        }
+    }
+
+    /// The transport of an agent takes a packet.
+    fn deliver(&mut self, sent: &Sent, opened: bool) {
+        let Sent::Forward {
+            agent,
+            packet,
+            mark,
+            ..
+        } = sent
+        else {
+            return;
+        };
+        let agent = *agent;
+        if packet.kind == Kind::Opener {
+            if opened {
+                self.marks += 1;
+                self.connections[agent] = self.marks;
+                self.owner_of.push(agent);
+            }
+            self.bag.push(Sent::Answer(self.connections[agent]));
+        } else if self.connections[agent] == *mark {
+            self.establish(agent, *mark);
+        } else if self.tokens {
+            self.reset(*mark);
+        } else {
+            // The packet doesn't fit what was sent from here: an embryonic flow is given up, and the
+            // packet goes on.
+            assert!(
+                self.owners[agent].yielded(flow()),
+                "an established owner got a foreign packet"
+            );
+            self.connections[agent] = 0;
+            self.arrive(sent, false);
+        }
+    }
+
+    fn establish(&mut self, agent: usize, mark: u32) {
+        assert_eq!(
+            self.follows, mark,
+            "delivered to a connection that isn't followed"
+        );
+        assert!(
+            self.held.is_none_or(|(held, _)| held == mark),
+            "a flow has two owners"
+        );
+        self.held = Some((mark, agent));
+        self.owners[agent].established(flow(), NOW);
+    }
+
+    fn reset(&mut self, mark: u32) {
+        assert!(
+            self.held.is_none_or(|(held, _)| held != mark),
+            "an established flow was reset"
+        );
+        self.bag.push(Sent::Reset(mark));
+    }
+
+    fn check(&self) {
+        if let Some((mark, agent)) = self.held {
+            assert!(
+                self.owners[agent].owns(flow()),
+                "an established flow was forgotten"
+            );
+            assert_eq!(self.connections[agent], mark);
+        }
+    }
+}
+
+fn explore_fleet(views: &[View; 2], tokens: bool) -> u64 {
+    explore(|path| {
+        let mut fleet = Fleet::new(views, tokens);
+        for _ in 0..STEPS {
+            fleet.step(path);
+        }
+    })
+}
+
+/// The newer view drains target 0.
+fn draining() -> [View; 2] {
+    let mut world = World::new(AGENTS);
+    let older = world.view();
+    world.set_draining(0, true);
+    [world.view(), older]
+}
+
+/// The older view lacks target 2.
+fn joined() -> [View; 2] {
+    let mut world = World::new(AGENTS);
+    world.leave(2);
+    let older = world.view();
+    world.join(2, 0);
+    [world.view(), older]
+}
+
+#[gtest]
+fn flows_with_tokens_take_the_steps_of_the_model() {
+    expect_that!(explore_fleet(&draining(), true), ge(10_000));
+    expect_that!(explore_fleet(&joined(), true), ge(10_000));
+}
+
+#[gtest]
+fn flows_without_tokens_take_the_steps_of_the_model() {
+    expect_that!(explore_fleet(&draining(), false), ge(10_000));
+    expect_that!(explore_fleet(&joined(), false), ge(10_000));
+}
--- a/model/request.pml
+++ b/model/request.pml
@@ -185,6 +185,7 @@
     :: present + 1 < ATTEMPTS ->
         present++;
         if
+        :: bound[present] = 0 /* under a new binding */
         :: bound[present] = 1
         :: bound[present] = 2
         fi
