Share the daemons' arguments, settings and exit codes

Both mains and both settings files held the same 60 and 40 lines. A daemon now names its settings, role and plugins; bad values read alike in both.

--- a/crates/lavenderseam_agent/src/lib.rs
+++ b/crates/lavenderseam_agent/src/lib.rs
@@ -23,4 +23,4 @@
 mod transport;
 
 pub use plugin::AgentPlugin;
-pub use settings::{Error as SettingsError, Metrics as MetricsSettings, Settings};
+pub use settings::Settings;
--- a/crates/lavenderseam_agent/src/settings.rs
+++ b/crates/lavenderseam_agent/src/settings.rs
@@ -1,10 +1,10 @@
 //! Settings of the agent.
 
-use std::fmt;
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 
 use lavenderseam_core::id;
+use lavenderseam_daemon::settings::{self, Error, Metrics, check_file, check_port};
 use lavenderseam_telemetry::log;
 use serde::{Deserialize, Serialize};
 
@@ -34,95 +34,24 @@
     pub metrics: Metrics,
 }
 
-/// Settings of the metrics.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
-#[serde(default, deny_unknown_fields)]
-pub struct Metrics {
-    /// Address of a statsd collector (UDP); none sends no metrics.
-    pub collector: Option<SocketAddr>,
-}
-
-/// Why settings can't be used.
-#[derive(Debug)]
-pub enum Error {
-    /// The file can't be read.
-    Read(PathBuf, std::io::Error),
-    /// The text is not TOML, or a key is unknown, missing or has a value that is not allowed.
-    Malformed(PathBuf, Box<toml::de::Error>),
-    /// A value is well-formed but can't be used.
-    Value {
-        /// The key.
-        key: &'static str,
-        /// Its value.
-        value: String,
-        /// What is allowed.
-        allowed: &'static str,
-    },
-}
-
-impl Settings {
-    /// Reads settings from a TOML file and checks them.
-    ///
-    /// # Errors
-    ///
-    /// Returns [`Error`] naming the key that can't be used, its value and what is allowed.
-    pub fn read(path: &Path) -> Result<Self, Error> {
-        let text =
-            std::fs::read_to_string(path).map_err(|error| Error::Read(path.to_owned(), error))?;
-        let settings: Self = toml::from_str(&text)
-            .map_err(|error| Error::Malformed(path.to_owned(), Box::new(error)))?;
-        settings.check()?;
-        Ok(settings)
-    }
-
-    /// Checks values that only make sense together or outside the file.
-    ///
-    /// # Errors
-    ///
-    /// Returns [`Error::Value`].
-    pub fn check(&self) -> Result<(), Error> {
-        port("egress", self.egress)?;
-        port("backend", self.backend)?;
-        file("certificate_file", &self.certificate_file)?;
-        file("private_key_file", &self.private_key_file)?;
-        file("control.key_file", &self.control.key_file)
+impl settings::Settings for Settings {
+    fn control(&self) -> &lavenderseam_control::Settings {
+        &self.control
     }
-}
 
-fn port(key: &'static str, address: SocketAddr) -> Result<(), Error> {
-    if address.port() != 0 {
-        return Ok(());
+    fn log(&self) -> &log::Settings {
+        &self.log
     }
-    Err(Error::Value {
-        key,
-        value: address.to_string(),
-        allowed: "an address with a port other than 0",
-    })
-}
 
-fn file(key: &'static str, path: &Path) -> Result<(), Error> {
-    if std::fs::File::open(path).is_ok() {
-        return Ok(());
+    fn metrics(&self) -> &Metrics {
+        &self.metrics
     }
-    Err(Error::Value {
-        key,
-        value: path.display().to_string(),
-        allowed: "a file that can be read",
-    })
-}
 
-impl fmt::Display for Error {
-    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Self::Read(path, error) => write!(formatter, "{}: {error}", path.display()),
-            Self::Malformed(path, error) => write!(formatter, "{}: {error}", path.display()),
-            Self::Value {
-                key,
-                value,
-                allowed,
-            } => write!(formatter, "{key} = {value:?}: must be {allowed}"),
-        }
+    fn check(&self) -> Result<(), Error> {
+        check_port("egress", self.egress)?;
+        check_port("backend", self.backend)?;
+        check_file("certificate_file", &self.certificate_file)?;
+        check_file("private_key_file", &self.private_key_file)?;
+        check_file("control.key_file", &self.control.key_file)
     }
 }
-
-impl std::error::Error for Error {}
--- a/crates/lavenderseam_balancer/src/bin/lavenderseam-balancer.rs
+++ b/crates/lavenderseam_balancer/src/bin/lavenderseam-balancer.rs
@@ -1,91 +1,31 @@
-//! The balancer daemon.
+//! The balancer daemon: forwards callers' packets to the agents of a service's targets.
 
-use std::path::PathBuf;
 use std::process::ExitCode;
 
-use argh::FromArgs;
 use lavenderseam_app::{App, Error};
 use lavenderseam_balancer::{BalancerPlugin, Settings};
-use lavenderseam_control::{ControlPlugin, Role};
-use lavenderseam_telemetry::{Log, Metrics, log};
+use lavenderseam_control::Role;
+use lavenderseam_daemon::Daemon;
+use lavenderseam_telemetry::Log;
 
-const LOG: Log = Log::new("balancer");
+struct Balancer;
 
-/// Precedes the name of every metric.
-const METRICS_PREFIX: &str = "lavenderseam.balancer";
-/// Exit code after a failure at run time.
-const FAILED: u8 = 1;
-/// Exit code for bad settings or arguments.
-const MISUSED: u8 = 2;
+impl Daemon for Balancer {
+    const PROGRAM: &'static str = "lavenderseam-balancer";
+    const METRICS: &'static str = "lavenderseam.balancer";
+    const LOG: Log = Log::new("balancer");
+    type Settings = Settings;
 
-/// Forwards callers' packets to the agents of a service's targets.
-#[derive(FromArgs)]
-struct Arguments {
-    /// settings file (TOML)
-    #[argh(option)]
-    settings: PathBuf,
-    /// check the settings and exit
-    #[argh(switch)]
-    check: bool,
-}
-
-fn main() -> ExitCode {
-    let arguments = match parse() {
-        Ok(arguments) => arguments,
-        Err(code) => return code,
-    };
-    let settings = match Settings::load(&arguments.settings) {
-        Ok(settings) => settings,
-        Err(error) => {
-            eprintln!("{error}");
-            return ExitCode::from(MISUSED);
-        }
-    };
-    if arguments.check {
-        return ExitCode::SUCCESS;
+    fn role(settings: &Settings) -> Role {
+        Role::Balancer(settings.name.clone())
     }
-    log::start(settings.log);
-    match run(settings) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            LOG.error(error);
-            ExitCode::from(FAILED)
-        }
-    }
-}
 
-fn parse() -> Result<Arguments, ExitCode> {
-    let arguments: Vec<String> = std::env::args().collect();
-    let arguments: Vec<&str> = arguments.iter().map(String::as_str).collect();
-    let (name, rest) = arguments
-        .split_first()
-        .unwrap_or((&"lavenderseam-balancer", &[]));
-    Arguments::from_args(&[name], rest).map_err(|exit| match exit.status {
-        Ok(()) => {
-            println!("{}", exit.output);
-            ExitCode::SUCCESS
-        }
-        Err(()) => {
-            eprintln!("{}", exit.output);
-            ExitCode::from(MISUSED)
-        }
-    })
-}
-
-#[tokio::main]
-async fn run(settings: Settings) -> Result<(), Error> {
-    let mut app = App::new();
-    let role = Role::Balancer(settings.name.clone());
-    let control = ControlPlugin::new(settings.control.clone(), role);
-    app.add(&control.with_metrics(metrics(&settings)?))?
-        .add(&BalancerPlugin::new(settings))?;
-    app.run().await
+    fn assemble(settings: Settings, app: &mut App) -> Result<(), Error> {
+        app.add(&BalancerPlugin::new(settings))?;
+        Ok(())
+    }
 }
 
-fn metrics(settings: &Settings) -> Result<Metrics, Error> {
-    match settings.metrics.collector {
-        Some(collector) => Metrics::with_collector(METRICS_PREFIX, collector)
-            .map_err(|cause| Error::plugin("metrics", cause)),
-        None => Ok(Metrics::new(METRICS_PREFIX)),
-    }
+fn main() -> ExitCode {
+    lavenderseam_daemon::run::<Balancer>()
 }
--- a/crates/lavenderseam_balancer/src/lib.rs
+++ b/crates/lavenderseam_balancer/src/lib.rs
@@ -16,4 +16,4 @@
 
 pub use counters::{Counters, Event};
 pub use plugin::BalancerPlugin;
-pub use settings::{Error, Settings, Source};
+pub use settings::{Settings, Source};
--- a/crates/lavenderseam_balancer/src/settings.rs
+++ b/crates/lavenderseam_balancer/src/settings.rs
@@ -2,10 +2,10 @@
 
 use std::fmt;
 use std::net::{IpAddr, SocketAddr};
-use std::path::{Path, PathBuf};
 use std::str::FromStr;
 
 use lavenderseam_core::id;
+use lavenderseam_daemon::settings::{self, Error, Metrics};
 use lavenderseam_telemetry::log;
 use serde::{Deserialize, Serialize};
 use serde_with::{DeserializeFromStr, SerializeDisplay};
@@ -42,14 +42,6 @@
     pub metrics: Metrics,
 }
 
-/// Where metrics go.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
-#[serde(default, deny_unknown_fields)]
-pub struct Metrics {
-    /// Address of a statsd collector (UDP); nowhere if absent.
-    pub collector: Option<SocketAddr>,
-}
-
 /// A source of packets: an IP number, or an IP number with a port.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, DeserializeFromStr, SerializeDisplay)]
 pub enum Source {
@@ -63,41 +55,17 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct UnknownSource;
 
-/// Why settings can't be used.
-#[derive(Debug)]
-pub enum Error {
-    /// The file can't be read.
-    Read {
-        /// The file.
-        file: PathBuf,
-        /// The system's error.
-        cause: std::io::Error,
-    },
-    /// A key is unknown or missing, or its value can't be read; names the line.
-    Parse(toml::de::Error),
-    /// A value isn't allowed.
-    Value {
-        /// The setting's key.
-        key: &'static str,
-        /// Its value.
-        value: String,
-        /// What is allowed.
-        allowed: &'static str,
-    },
-}
+impl settings::Settings for Settings {
+    fn control(&self) -> &lavenderseam_control::Settings {
+        &self.control
+    }
 
-impl Settings {
-    /// Reads and checks a settings file.
-    ///
-    /// # Errors
-    ///
-    /// Returns [`Error`] naming the file, the line or the setting.
-    pub fn load(file: &Path) -> Result<Self, Error> {
-        let text = std::fs::read_to_string(file).map_err(|cause| Error::Read {
-            file: file.to_owned(),
-            cause,
-        })?;
-        text.parse()
+    fn log(&self) -> &log::Settings {
+        &self.log
+    }
+
+    fn metrics(&self) -> &Metrics {
+        &self.metrics
     }
 
     fn check(&self) -> Result<(), Error> {
@@ -134,16 +102,6 @@
     }
 }
 
-impl Error {
-    fn value(key: &'static str, value: impl fmt::Display, allowed: &'static str) -> Self {
-        Self::Value {
-            key,
-            value: value.to_string(),
-            allowed,
-        }
-    }
-}
-
 fn threads_default() -> usize {
     2
 }
@@ -156,9 +114,7 @@
     type Err = Error;
 
     fn from_str(text: &str) -> Result<Self, Error> {
-        let settings: Self = toml::from_str(text).map_err(Error::Parse)?;
-        settings.check()?;
-        Ok(settings)
+        settings::parse(text)
     }
 }
 
@@ -188,21 +144,3 @@
 }
 
 impl std::error::Error for UnknownSource {}
-
-impl fmt::Display for Error {
-    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Self::Read { file, cause } => {
-                write!(formatter, "can't read {}: {cause}", file.display())
-            }
-            Self::Parse(cause) => cause.fmt(formatter),
-            Self::Value {
-                key,
-                value,
-                allowed,
-            } => write!(formatter, "setting {key} is {value}; allowed: {allowed}"),
-        }
-    }
-}
-
-impl std::error::Error for Error {}
