Test flows and requests while agents stop, drain, die and leave

Agents in tests run on threads of their own, because the tasks of one that is only aborted go on sending keep-alives.

--- a/crates/lavenderseam_agent/src/peer.rs
+++ b/crates/lavenderseam_agent/src/peer.rs
@@ -34,8 +34,10 @@
         let mut buffer = vec![0; DATAGRAM_LIMIT];
         let mut out = Vec::new();
         loop {
-            // An error concerns an earlier datagram that was sent; the socket stays usable.
             let Ok((length, source)) = self.socket.recv_from(&mut buffer).await else {
+                // An error concerns an earlier datagram that was sent; if it lasts, other tasks
+                // run all the same.
+                tokio::task::yield_now().await;
                 continue;
             };
             match Frame::open(&self.key, &buffer[..length]) {
--- a/crates/lavenderseam_agent/src/server/request.rs
+++ b/crates/lavenderseam_agent/src/server/request.rs
@@ -4,10 +4,12 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use futures::future::FusedFuture;
 use h3::error::StreamError;
 use h3::server::RequestResolver;
 use http::{HeaderValue, Method, Request, Response, StatusCode, header as field};
 use lavenderseam_core::request::{Refusal, Stage};
+use quinn::{ConnectionError, StoppedError};
 use tokio::time::Instant;
 
 use super::{Server, edit, repeatable, reply};
@@ -141,6 +143,9 @@
 
     /// Waits until the caller has all of the answer, so that the connection isn't closed before.
     async fn received(&mut self) {
+        if self.watch.is_terminated() {
+            return;
+        }
         // A caller that doesn't take the answer in holds the connection no longer than this.
         let _ = tokio::time::timeout(RECEIPT_TIMEOUT, &mut self.watch).await;
     }
@@ -151,6 +156,8 @@
     match watch.await {
         Ok(Some(_)) => Gone::Cancelled,
         Ok(None) => std::future::pending().await,
+        // A caller that closes its connection gives up all that it still waits for.
+        Err(StoppedError::ConnectionLost(ConnectionError::ApplicationClosed(_))) => Gone::Cancelled,
         Err(_) => Gone::Lost,
     }
 }
--- a/crates/lavenderseam_agent/src/transport/stream.rs
+++ b/crates/lavenderseam_agent/src/transport/stream.rs
@@ -10,7 +10,7 @@
 
 use bytes::{Buf, Bytes, BytesMut};
 use futures::FutureExt;
-use futures::future::BoxFuture;
+use futures::future::{BoxFuture, Fuse};
 use h3::error::Code;
 use h3::quic::{self, ConnectionErrorIncoming, StreamErrorIncoming, StreamId, WriteBuf};
 use parking_lot::Mutex;
@@ -22,8 +22,8 @@
 type Opening<T> = Option<BoxFuture<'static, Result<T, ConnectionError>>>;
 type Pair = (quinn::SendStream, quinn::RecvStream);
 
-/// Resolves once the caller has stopped a stream or has received all of it.
-pub(crate) type Watch = BoxFuture<'static, Result<Option<VarInt>, StoppedError>>;
+/// Resolves, once only, when the caller has stopped a stream or has received all of it.
+pub(crate) type Watch = Fuse<BoxFuture<'static, Result<Option<VarInt>, StoppedError>>>;
 
 /// A QUIC connection for HTTP/3.
 pub(crate) struct Connection {
@@ -142,7 +142,7 @@
         let result = ready!(accepting.as_mut().poll(context));
         self.accepting = None;
         let pair = result.map_err(connection_error)?;
-        *self.latest.lock() = Some(pair.0.stopped().boxed());
+        *self.latest.lock() = Some(pair.0.stopped().boxed().fuse());
         Poll::Ready(Ok(Stream::new(pair)))
     }
 
--- a/crates/lavenderseam_agent/tests/cluster/agent.rs
+++ b/crates/lavenderseam_agent/tests/cluster/agent.rs
@@ -11,6 +11,7 @@
 use lavenderseam_core::record::{self, Document, DomainState, Kind, Phase, Record, Schema, Slots};
 use lavenderseam_core::view::View;
 use lavenderseam_telemetry::Metrics;
+use tokio::runtime::Runtime;
 
 use super::{Backend, Cluster, SERVICE};
 
@@ -37,20 +38,24 @@
     service: SocketAddr,
     stopper: Stopper,
     running: Option<tokio::task::JoinHandle<Result<(), lavenderseam_app::Error>>>,
-    rpc: jsonrpsee::server::ServerHandle,
+    /// The agent's tasks run on threads of their own, so that all of them can end without warning.
+    runtime: Option<Runtime>,
     others: Vec<(id::Target, record::Target)>,
     standing: Standing,
 }
 
 impl Agent {
     pub(super) async fn start(cluster: &Cluster, name: &str, backend: &Backend) -> Self {
+        let runtime = tokio::runtime::Builder::new_multi_thread()
+            .worker_threads(2)
+            .enable_all()
+            .build()
+            .unwrap();
         let name = id::Target::new(name).unwrap();
         let peer = free_port();
         let incarnation = Incarnation(rand::random());
-        let server = jsonrpsee::server::Server::builder()
-            .build("127.0.0.1:0")
-            .await
-            .unwrap();
+        let server = jsonrpsee::server::Server::builder().build("127.0.0.1:0");
+        let server = runtime.spawn(server).await.unwrap().unwrap();
         let rpc = server.local_addr().unwrap();
         let identity = Identity {
             role: Role::Agent {
@@ -83,12 +88,17 @@
         let announcement = app.insert(Announcement::new());
         app.insert(Metrics::new("test"));
         let plugin = AgentPlugin::new(settings(cluster, &name, backend, peer, rpc));
-        app.add(&plugin).unwrap();
+        {
+            let _entered = runtime.enter();
+            app.add(&plugin).unwrap();
+        }
         let mut module = jsonrpsee::RpcModule::new(());
         for methods in methods.take() {
             module.merge(methods).unwrap();
         }
-        let mut agent = Self {
+        let stopper = app.stopper();
+        runtime.spawn(async move { server.start(module).stopped().await });
+        let agent = Self {
             tag: Tag::new(&name),
             peer,
             incarnation,
@@ -96,14 +106,13 @@
             target: (name, target),
             views,
             service: cluster.service(),
-            stopper: app.stopper(),
-            running: None,
-            rpc: server.start(module),
+            stopper,
+            running: Some(runtime.spawn(app.run())),
+            runtime: Some(runtime),
             others: Vec::new(),
             standing: Standing::Serving,
         };
         agent.publish();
-        agent.running = Some(tokio::spawn(app.run()));
         agent
     }
 
@@ -131,11 +140,8 @@
     }
 
     /// Ends the agent without warning.
-    pub async fn kill(mut self) {
-        let running = self.running.take().unwrap();
-        running.abort();
-        let _ = running.await;
-        let _ = self.rpc.stop();
+    pub fn kill(self) {
+        drop(self);
     }
 
     fn publish(&self) {
@@ -177,12 +183,22 @@
     }
 }
 
+impl Drop for Agent {
+    fn drop(&mut self) {
+        if let Some(runtime) = self.runtime.take() {
+            runtime.shutdown_background();
+        }
+    }
+}
+
 /// Keeps the gate open until the app halts.
 async fn renew(gate: Arc<Gate>, mut shutdown: Shutdown) {
-    while shutdown.phase() != lavenderseam_app::Phase::Halted {
+    loop {
         gate.set(true);
-        let pause = std::time::Duration::from_millis(100);
-        let _ = tokio::time::timeout(pause, shutdown.halted()).await;
+        tokio::select! {
+            () = tokio::time::sleep(std::time::Duration::from_millis(100)) => {}
+            () = shutdown.halted() => return,
+        }
     }
 }
 
--- a/crates/lavenderseam_agent/tests/cluster/backend.rs
+++ b/crates/lavenderseam_agent/tests/cluster/backend.rs
@@ -64,6 +64,7 @@
             .route("/edits", post(edit))
             .route("/lookup/{n}", get(lookup))
             .route("/files/{bytes}", get(file))
+            .route("/slow/{bytes}", get(slow))
             .route("/cut/{bytes}", get(cut))
             .route("/crossed", get(crossed))
             .route("/feed", get(feed))
@@ -166,6 +167,25 @@
     response
 }
 
+/// Sends the content over about a second.
+async fn slow(State(counts): State<Arc<Counts>>, Path(bytes): Path<usize>) -> Response {
+    let content = Bytes::from(content(bytes));
+    let hash = format!("{:016x}", xxh3_64(&content));
+    let length = content.len().to_string();
+    let state = (content, Running::new(&counts));
+    let chunks = futures::stream::unfold(state, move |(mut content, running)| async move {
+        if content.is_empty() {
+            running.finished();
+            return None;
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        let chunk = content.split_to((bytes / 20 + 1).min(content.len()));
+        Some((Ok::<_, Infallible>(chunk), (content, running)))
+    });
+    let headers = [("x-content-hash", hash), ("content-length", length)];
+    (headers, Body::from_stream(chunks)).into_response()
+}
+
 /// Sends half of the content and breaks off; no length is announced.
 async fn cut(Path(bytes): Path<usize>) -> Response {
     let half = Bytes::from(content(bytes / 2));
--- a/crates/lavenderseam_agent/tests/cluster/relay.rs
+++ b/crates/lavenderseam_agent/tests/cluster/relay.rs
@@ -1,6 +1,6 @@
 //! Plays the fabric and a balancer: callers' packets to the owner, agents' packets to the callers.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -27,8 +27,10 @@
 struct State {
     agents: HashMap<Tag, SocketAddr>,
     takers: Vec<Tag>,
+    /// Callers that have sent.
+    callers: HashSet<SocketAddr>,
     /// Callers that nothing gets through to or from any more.
-    silent: Vec<SocketAddr>,
+    silent: HashSet<SocketAddr>,
 }
 
 impl Relay {
@@ -64,9 +66,10 @@
         state.takers.insert(0, tag);
     }
 
-    /// Loses all packets of the callers that have sent so far.
-    pub fn silence(&self, caller: SocketAddr) {
-        self.state.lock().silent.push(caller);
+    /// Loses all packets to and from the callers that have sent so far.
+    pub fn silence_all(&self) {
+        let mut state = self.state.lock();
+        state.silent = state.callers.clone();
     }
 
     async fn inbound(self: Arc<Self>) {
@@ -74,7 +77,7 @@
         let mut out = Vec::new();
         loop {
             let Ok((length, caller)) = self.service_socket.recv_from(&mut buffer).await else {
-                continue;
+                return;
             };
             let payload = &buffer[..length];
             let Some((peer, forward)) = self.route(caller, payload) else {
@@ -90,7 +93,7 @@
         let mut buffer = vec![0; 65_536];
         loop {
             let Ok((length, _)) = self.egress_socket.recv_from(&mut buffer).await else {
-                continue;
+                return;
             };
             let Ok(packet) = fabric::Packet::decode(&buffer[..length]) else {
                 continue;
@@ -107,10 +110,11 @@
     }
 
     fn route(&self, caller: SocketAddr, payload: &[u8]) -> Option<(SocketAddr, Forward)> {
-        let state = self.state.lock();
+        let mut state = self.state.lock();
         if state.silent.contains(&caller) {
             return None;
         }
+        state.callers.insert(caller);
         let token = self.token(payload);
         let taker = token.map(|token| token.owner);
         let taker = taker.or_else(|| state.takers.first().copied())?;
