--- a/crates/lavenderseam_core/src/relay/node/forward.rs
+++ b/crates/lavenderseam_core/src/relay/node/forward.rs
@@ -3,15 +3,21 @@
 use std::time::Duration;
 
 use super::{Action, Node};
-use crate::record::Id;
-use crate::relay::freshness::Freshness;
+use crate::catalog::Entry;
+use crate::record::Kind;
+use crate::relay::age;
 use crate::relay::{MemberId, Push, Stamp};
 use crate::time::Instant;
 
 /// Most records taken at once that are pushed on one by one; more are left to repair.
 const FORWARD_LIMIT: usize = 256;
 /// Gain of freshness that is worth a stamp of its own.
-const STAMP_STEP: Duration = Duration::from_secs(2);
+const STAMP_STEP: Duration = Duration::from_secs(3);
+
+/// Time for which a balancer is unreachable before its record is deleted.
+const FORGET_AFTER: Duration = Duration::from_secs(600);
+/// Age of a process' own records at which it surely isn't the one that is cut off.
+const CONNECTED_AGE: Duration = Duration::from_secs(10);
 
 impl Node {
     pub(super) fn pushed(&mut self, push: Push, now: Instant, actions: &mut Vec<Action>) {
@@ -28,36 +34,77 @@
         } else {
             self.start_repair(from, now);
         }
-        let Some(age_ms) = stamp.age_ms else {
-            return;
-        };
-        let freshness = Freshness::new(age_ms, stamp.origin, now);
-        self.heard_watcher(stamp.origin, freshness.at);
+        if let Some(age_ms) = stamp.watcher_age_ms {
+            self.heard_watcher(stamp.watcher, age::at(age_ms, now), now);
+        }
         // Records that differ from those of a fresh process are not as fresh.
-        if stamp.root == self.catalog.digest().root() {
-            self.freshen(freshness);
+        let same = stamp.root == self.catalog.digest().root();
+        if let Some(age_ms) = stamp.age_ms.filter(|_| same) {
+            self.freshen(age::at(age_ms, now));
         }
     }
 
-    pub(super) fn delivered(&mut self, to: MemberId, arrived: bool, now: Instant) {
-        if let Some(outbox) = self.outboxes.get_mut(&to) {
-            outbox.delivered(arrived, now);
+    pub(super) fn delivered(
+        &mut self,
+        to: MemberId,
+        arrived: bool,
+        now: Instant,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(outbox) = self.outboxes.get_mut(&to) else {
+            return;
+        };
+        outbox.delivered(arrived, now);
+        if outbox.failing_for(now) < FORGET_AFTER {
+            return;
         }
+        outbox.excuse();
+        if self.is_gone(to, now) {
+            actions.extend(self.forget(to));
+        }
+    }
+
+    /// Whether a member that can't be reached is a balancer, and neither this process nor the
+    /// member's region is cut off.
+    fn is_gone(&self, id: MemberId, now: Instant) -> bool {
+        let Some(member) = self.members.get(id).filter(|member| member.balancer) else {
+            return false;
+        };
+        let connected = self.age(now).is_some_and(|age| age <= CONNECTED_AGE);
+        let region = &member.region;
+        let near = |id: &MemberId| {
+            self.members
+                .get(*id)
+                .is_some_and(|other| other.region == *region)
+        };
+        let mut others = self.outboxes.iter().filter(|(other, _)| near(other));
+        let reached = others.any(|(_, outbox)| outbox.arrived_within(CONNECTED_AGE, now));
+        connected && (reached || *region == self.own.region)
+    }
+
+    fn forget(&self, balancer: MemberId) -> Option<Action> {
+        let entries = self.catalog.entries();
+        let mut balancers = entries.filter(|entry| entry.id.kind == Kind::Balancer);
+        let held = balancers.find(|entry| MemberId::new(&entry.id) == balancer)?;
+        Some(Action::Forget {
+            id: held.id.clone(),
+            revision: held.revision,
+        })
     }
 
     /// Notes that the records are as fresh, and stamps the children if that is news.
-    pub(super) fn freshen(&mut self, freshness: Freshness) {
-        if self.freshness.is_some_and(|held| held.at >= freshness.at) {
+    pub(super) fn freshen(&mut self, fresh: Instant) {
+        if self.fresh.is_some_and(|held| held >= fresh) {
             return;
         }
-        self.freshness = Some(freshness);
+        self.fresh = Some(fresh);
         if self
             .stamped
-            .is_some_and(|stamped| freshness.at.since(stamped) < STAMP_STEP)
+            .is_some_and(|stamped| fresh.since(stamped) < STAMP_STEP)
         {
             return;
         }
-        self.stamped = Some(freshness.at);
+        self.stamped = Some(fresh);
         for (child, preferred) in &self.tree.children {
             if *preferred {
                 self.outboxes.entry(*child).or_default().add_stamp();
@@ -67,8 +114,8 @@
 
     /// Passes records on: what came from a parent to the children, anything else to the parents
     /// too.
-    pub(super) fn forward(&mut self, ids: &[Id], from: Option<MemberId>) {
-        if ids.len() > FORWARD_LIMIT {
+    pub(super) fn forward(&mut self, changed: &[Entry], from: Option<MemberId>) {
+        if changed.len() > FORWARD_LIMIT {
             return;
         }
         let down = from.is_some_and(|from| self.tree.parents.contains(&from));
@@ -80,7 +127,7 @@
         let neighbours = self.tree.children.keys().chain(parents);
         for to in neighbours.filter(|to| Some(**to) != from) {
             let outbox = self.outboxes.entry(*to).or_default();
-            ids.iter().for_each(|id| outbox.add(id));
+            changed.iter().for_each(|entry| outbox.add(&entry.id));
         }
     }
 
