Spare the watchers while the store is away, and back off refused verdicts

A verdict that the platform refuses is tried again after a pause that doubles, because after the loss of a failure domain thousands of balancers write at once.

--- a/crates/lavenderseam_bench/src/slope/memory.rs
+++ b/crates/lavenderseam_bench/src/slope/memory.rs
@@ -38,6 +38,7 @@
                 .cloned()
                 .collect();
             let count = of_kind.len() as f64;
+            let of_kind = std::mem::ManuallyDrop::new(of_kind);
             held(|| catalog(&of_kind)) / count
         });
         let catalog = held(|| catalog(&entries));
--- a/crates/lavenderseam_core/src/liveness/prober.rs
+++ b/crates/lavenderseam_core/src/liveness/prober.rs
@@ -19,8 +19,10 @@
 const INTERVAL: Duration = Duration::from_secs(1);
 /// Shortest time between two writes of the verdict.
 const WRITE_INTERVAL: Duration = Duration::from_secs(1);
-/// Pause after a write that failed.
-const WRITE_RETRY: Duration = Duration::from_secs(2);
+/// Pause after a write that failed; it doubles with each.
+const WRITE_RETRY: Duration = Duration::from_secs(1);
+/// Doublings of that pause.
+const WRITE_DOUBLINGS: u32 = 6;
 /// Time after which a target that is down is forgotten; its agent announces itself anew if it lives.
 const FORGET_AFTER: Duration = Duration::from_secs(3600);
 /// Targets below which silence of most says nothing about the balancer itself.
@@ -66,6 +68,8 @@
     written: Verdict,
     writing: Option<Verdict>,
     next_write: Instant,
+    /// Writes that failed in a row.
+    failed_writes: u32,
 }
 
 impl Prober {
@@ -83,6 +87,7 @@
             written: Verdict { down: Vec::new() },
             writing: None,
             next_write: now,
+            failed_writes: 0,
         }
     }
 
@@ -145,10 +150,19 @@
     /// Takes the outcome of a write of the verdict.
     pub fn written(&mut self, taken: bool, now: Instant) {
         let verdict = self.writing.take();
-        match verdict {
-            Some(verdict) if taken => self.written = verdict,
-            _ => self.next_write = now + WRITE_RETRY,
+        if let Some(verdict) = verdict.filter(|_| taken) {
+            self.written = verdict;
+            self.failed_writes = 0;
+            return;
         }
+        self.failed_writes += 1;
+        let pause = WRITE_RETRY * (1 << self.failed_writes.min(WRITE_DOUBLINGS));
+        self.next_write = now + self.jittered(pause);
+    }
+
+    /// Between half of a span and the whole.
+    fn jittered(&mut self, span: Duration) -> Duration {
+        span.mul_f64(0.5 + self.draw() as f64 / u64::MAX as f64 / 2.0)
     }
 
     /// Targets that this balancer probes.
--- a/crates/lavenderseam_core/src/relay/node/repair.rs
+++ b/crates/lavenderseam_core/src/relay/node/repair.rs
@@ -114,17 +114,12 @@
         }
     }
 
-    /// A process to ask: parents and watchers by turns, any other member now and then, the seeds
-    /// while no members are known.
+    /// A process to ask: the parents by turns, any other member now and then, the seeds while no
+    /// members are known.
     fn candidate(&mut self) -> Option<SocketAddr> {
         let draw = self.draw();
-        let near: Vec<MemberId> = self
-            .tree
-            .parents
-            .iter()
-            .chain(self.watchers.first())
-            .copied()
-            .collect();
+        // Only the heads of the tree ask the watchers; if all did, these would answer the fleet.
+        let near = self.tree.parents.clone();
         let any = draw.is_multiple_of(4) || near.is_empty();
         let member = if any && !self.members.is_empty() {
             let at = (draw >> 8) as usize % self.members.len();
--- a/crates/lavenderseam_core/tests/liveness.rs
+++ b/crates/lavenderseam_core/tests/liveness.rs
@@ -274,3 +274,45 @@
     fixture.run(Duration::from_secs(30));
     assert_that!(fixture.forgotten, len(eq(BALANCERS)));
 }
+
+#[gtest]
+fn a_refused_write_is_tried_ever_more_rarely() {
+    let now = Instant(1_000_000);
+    let catalog = catalog(entries(BALANCERS, 10, 1));
+    let name = id::Balancer::new("balancer-0").unwrap();
+    let mut prober = Prober::new(&name, 1, now);
+    catalog.entries().for_each(|entry| prober.apply(entry));
+    let mut writes = 0;
+    for tick in 1..=4 * 600 {
+        let now = now + TICK * tick;
+        for action in prober.tick(now) {
+            match action {
+                // Two of the ten targets don't answer.
+                Action::Probe { peer, nonce } => {
+                    let target = catalog
+                        .records::<Target>()
+                        .find(|(_, target)| target.peer == peer);
+                    let (name, target) = target.unwrap();
+                    if !name.ends_with('1') && !name.ends_with('2') {
+                        let target_tag = Tag::new(&id::Target::new(name).unwrap());
+                        let incarnation = target.incarnation;
+                        prober.echo(
+                            Echo {
+                                target: target_tag,
+                                nonce,
+                                incarnation,
+                            },
+                            now,
+                        );
+                    }
+                }
+                Action::Write(_) => {
+                    writes += 1;
+                    prober.written(false, now);
+                }
+                Action::Forget(_) => {}
+            }
+        }
+    }
+    assert_that!(writes, all!(ge(8), le(30)));
+}
