Ask processes of any version for their status

The command line read the answer into the control plane's own type, so a process of another version, with a field more or less, counted as silent. It now reads only what it needs and passes the whole answer on in JSON.

--- a/crates/lavenderseam_cli/src/command/mod.rs
+++ b/crates/lavenderseam_cli/src/command/mod.rs
@@ -33,6 +33,11 @@
         return Ok(report(&id, "unchanged", json!({ "revision": revision })));
     }
     if dry_run {
+        let write_token = None;
+        let wanted = Document {
+            write_token,
+            ..wanted
+        };
         return Ok(report(
             &id,
             "would be written",
--- a/crates/lavenderseam_cli/src/command/selector.rs
+++ b/crates/lavenderseam_cli/src/command/selector.rs
@@ -29,8 +29,9 @@
         }
         let parse = |word: &String| {
             let found = format!("{word:?}");
+            let kinds = Kind::ALL.map(Kind::as_str).join(", ");
             let kind = word.parse::<Kind>();
-            kind.map_err(|error| Error::key("arguments", "kind", found, error))
+            kind.map_err(|_| Error::key("arguments", "kind", found, kinds))
         };
         Ok(Self {
             kind: words.first().map(parse).transpose()?,
--- a/crates/lavenderseam_cli/src/command/status.rs
+++ b/crates/lavenderseam_cli/src/command/status.rs
@@ -1,6 +1,6 @@
 //! On how many processes the records are in force.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::fmt::Write as _;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -10,11 +10,11 @@
 use jsonrpsee::core::client::ClientT;
 use jsonrpsee::http_client::HttpClientBuilder;
 use jsonrpsee::rpc_params;
-use lavenderseam_control::Status as Held;
 use lavenderseam_core::catalog::{Entry, Revision};
 use lavenderseam_core::record::{Balancer, Id, Kind, Record, Target};
 use lavenderseam_platform::Store;
-use serde_json::json;
+use serde::Deserialize;
+use serde_json::{Value, json};
 
 use super::Selector;
 use crate::edit::Editor;
@@ -41,6 +41,26 @@
     pub record: Vec<String>,
 }
 
+/// What a process of any version says that it holds.
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(default)]
+pub struct Held {
+    /// Name of the balancer or target.
+    pub name: String,
+    /// `balancer` or `agent`.
+    pub role: String,
+    /// Digest of all records held.
+    pub digest: u64,
+    /// Highest revision held.
+    pub head: Revision,
+    /// Highest revision in the view that the process acts on.
+    pub view: Revision,
+    /// Whether the process acts on its view.
+    pub gate: bool,
+    /// Revision of each record, by kind and name.
+    pub records: BTreeMap<String, BTreeMap<String, Revision>>,
+}
+
 /// What one process answered.
 #[derive(Clone, Debug)]
 pub struct Answer {
@@ -48,6 +68,8 @@
     pub address: SocketAddr,
     /// What it holds; none if it didn't answer.
     pub held: Option<Held>,
+    /// Its whole answer.
+    pub whole: Value,
 }
 
 /// Asks all processes and compares what they hold with the store, or with the newest that any of
@@ -96,8 +118,12 @@
 async fn ask_all(addresses: BTreeSet<SocketAddr>, kinds: &[Kind]) -> Vec<Answer> {
     let mut answers: Vec<Answer> = stream::iter(addresses)
         .map(|address| async move {
-            let held = ask(address, kinds).await;
-            Answer { address, held }
+            let whole = ask(address, kinds).await.unwrap_or(Value::Null);
+            Answer {
+                address,
+                held: Held::deserialize(&whole).ok(),
+                whole,
+            }
         })
         .buffer_unordered(CONCURRENT_CALLS)
         .collect()
@@ -106,7 +132,7 @@
     answers
 }
 
-async fn ask(address: SocketAddr, kinds: &[Kind]) -> Option<Held> {
+async fn ask(address: SocketAddr, kinds: &[Kind]) -> Option<Value> {
     let client = HttpClientBuilder::default()
         .request_timeout(ANSWER_LIMIT)
         .build(format!("http://{address}"))
@@ -125,7 +151,7 @@
 
 /// The newest revision of each record that any process holds.
 fn newest(answers: &[Answer], wanted: impl Fn(&Id) -> bool) -> Vec<(Id, Revision)> {
-    let mut newest = std::collections::BTreeMap::new();
+    let mut newest = BTreeMap::new();
     for (kind, names) in answers
         .iter()
         .filter_map(|a| a.held.as_ref())
@@ -189,7 +215,7 @@
     }
     let processes: Vec<_> = answers
         .iter()
-        .map(|answer| json!({ "address": answer.address, "status": answer.held }))
+        .map(|answer| json!({ "address": answer.address, "status": answer.whole }))
         .collect();
     let json = json!({ "store": stored, "records": rows, "processes": processes });
     Report::new(text, json)
--- a/crates/lavenderseam_cli/src/error.rs
+++ b/crates/lavenderseam_cli/src/error.rs
@@ -32,7 +32,8 @@
 pub struct Conflict {
     /// The record.
     pub id: Id,
-    /// What the change was based on; none if the record didn't exist.
+    /// What the change was based on; none if the record didn't exist. It has no document if only
+    /// the revision is known.
     pub base: Option<Entry>,
     /// What the change would have written; none if it would have deleted the record.
     pub wanted: Option<lavenderseam_core::record::Document>,
@@ -183,7 +184,8 @@
     let Some(entry) = entry else {
         return "doesn't exist".to_owned();
     };
-    let content = entry.document.as_ref().map_or("deleted".to_owned(), spec);
+    let content = entry.document.as_ref();
+    let content = content.map_or("content no longer known".to_owned(), spec);
     format!("revision {}, {content}", entry.revision)
 }
 
