--- a/crates/lavenderseam_agent/tests/cluster/relay.rs
+++ b/crates/lavenderseam_agent/tests/cluster/relay.rs
@@ -135,6 +135,7 @@
             trail: Vec::new(),
             revision: Revision(0),
             balancer: self.egress,
+            asks: true,
         };
         Some((peer, forward))
     }
