--- a/crates/lavenderseam_agent/src/header.rs
+++ b/crates/lavenderseam_agent/src/header.rs
@@ -19,6 +19,9 @@
 /// Identity of one attempt, echoed in its answer.
 pub(crate) const REQUEST_ID: HeaderName = HeaderName::from_static("x-request-id");
 
+/// Trace of the request.
+pub(crate) const TRACEPARENT: HeaderName = HeaderName::from_static("traceparent");
+
 /// Fields that concern one connection only.
 const HOP_BY_HOP: [&str; 8] = [
     "connection",
--- a/crates/lavenderseam_agent/src/server/edit.rs
+++ b/crates/lavenderseam_agent/src/server/edit.rs
@@ -13,10 +13,11 @@
 use http_body_util::{BodyExt, Full, Limited};
 use lavenderseam_core::admission::Outcome;
 use lavenderseam_core::request::{Binding, Inquiry, Key, Ran, Refusal, Stage};
+use lavenderseam_telemetry::trace::{Hop, Span};
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
-use super::request::{Exchange, Gone, forwarded, gone, passed};
+use super::request::{Exchange, Gone, forwarded, gone, passed, trace};
 use super::{Server, reply};
 use crate::answer::Answer;
 use crate::gauge::Permit;
@@ -165,6 +166,7 @@
             return exchange.refuse_full(full.retry_after).await;
         }
     };
+    let _span = trace(&request).map(|trace| Span::new(Hop::Backend, "run", trace));
     let request = forwarded(exchange, request, body);
     let (cancel, cancelled) = oneshot::channel();
     let mut running = tokio::spawn(execute(
--- a/crates/lavenderseam_agent/src/server/repeatable.rs
+++ b/crates/lavenderseam_agent/src/server/repeatable.rs
@@ -9,10 +9,11 @@
 use hyper::body::Incoming;
 use lavenderseam_core::admission::Outcome;
 use lavenderseam_core::request::{Refusal, Stage};
+use lavenderseam_telemetry::trace::{Hop, Span};
 use tokio::sync::watch;
 
 use super::connection::leaving;
-use super::request::{Exchange, Gone, Kind, forwarded, gone, passed};
+use super::request::{Exchange, Gone, Kind, forwarded, gone, passed, trace};
 use super::{Stage as Phase, reply};
 use crate::backend;
 use crate::gauge::Permit;
@@ -36,12 +37,14 @@
             Err(full) => return exchange.refuse_full(full.retry_after).await,
         },
     };
+    let span = trace(&request).map(|trace| Span::new(Hop::Backend, "answer head", trace));
     let request = forwarded(exchange, request, Bytes::new());
     let backend = exchange.server.backend.clone();
     let answered = tokio::select! {
         answered = backend.send(request) => answered,
         gone = exchange.gone() => return give_up(exchange, gone, permit).await,
     };
+    drop(span);
     match answered {
         Ok(response) => {
             if let Some(permit) = &mut permit {
--- a/crates/lavenderseam_agent/src/server/request.rs
+++ b/crates/lavenderseam_agent/src/server/request.rs
@@ -9,6 +9,7 @@
 use h3::server::RequestResolver;
 use http::{HeaderValue, Method, Request, Response, StatusCode, header as field};
 use lavenderseam_core::request::{Refusal, Stage};
+use lavenderseam_telemetry::trace::{self, Hop, Span};
 use quinn::{ConnectionError, StoppedError};
 use tokio::time::Instant;
 
@@ -69,6 +70,7 @@
         return;
     };
     let kind = Kind::new(&request);
+    let _span = trace(&request).map(|trace| Span::new(Hop::Agent, "request", trace));
     let mut exchange = Exchange {
         deadline: deadline(&request, kind),
         id: request.headers().get(&header::REQUEST_ID).cloned(),
@@ -170,6 +172,12 @@
     }
 }
 
+/// Trace of a request, from its `traceparent` field: `00-<trace>-<span>-<flags>`.
+pub(super) fn trace(request: &Request<()>) -> Option<trace::Id> {
+    let parent: String = header::parsed(request.headers(), &header::TRACEPARENT)?;
+    parent.split('-').nth(1)?.parse().ok()
+}
+
 fn deadline(request: &Request<()>, kind: Kind) -> Option<Instant> {
     let named = header::parsed(request.headers(), &header::DEADLINE).map(Duration::from_millis);
     let time = match kind {
