--- a/crates/lavenderseam_agent/src/server/request.rs
+++ b/crates/lavenderseam_agent/src/server/request.rs
@@ -19,8 +19,6 @@
 
 /// Time for a request that names none and isn't a live feed.
 const DEADLINE_DEFAULT: Duration = Duration::from_secs(60);
-/// Time in which the caller must have taken in an answer that is sent whole.
-const RECEIPT_TIMEOUT: Duration = Duration::from_secs(10);
 /// Media type of a live feed.
 const FEED: &str = "text/event-stream";
 
@@ -143,13 +141,12 @@
             .map(|deadline| deadline.saturating_duration_since(Instant::now()))
     }
 
-    /// Waits until the caller has all of the answer, so that the connection isn't closed before.
+    /// Waits until the caller has all of the answer or its connection has ended, so that the
+    /// connection isn't closed before.
     async fn received(&mut self) {
-        if self.watch.is_terminated() {
-            return;
+        if !self.watch.is_terminated() {
+            let _ = (&mut self.watch).await;
         }
-        // A caller that doesn't take the answer in holds the connection no longer than this.
-        let _ = tokio::time::timeout(RECEIPT_TIMEOUT, &mut self.watch).await;
     }
 }
 
