--- a/crates/lavenderseam_bench/src/slope/memory.rs
+++ b/crates/lavenderseam_bench/src/slope/memory.rs
@@ -38,6 +38,7 @@
                 .cloned()
                 .collect();
             let count = of_kind.len() as f64;
+            let of_kind = std::mem::ManuallyDrop::new(of_kind);
             held(|| catalog(&of_kind)) / count
         });
         let catalog = held(|| catalog(&entries));
@@ -103,6 +104,7 @@
                 shards: 16,
                 capacity: count,
                 silence: Duration::from_secs(3),
+                ..Settings::default()
             };
             let router: Router = Router::new(settings);
             let service = SocketAddr::from(([203, 0, 113, 1], 443));
