--- a/crates/lavenderseam_core/src/relay/node/mod.rs
+++ b/crates/lavenderseam_core/src/relay/node/mod.rs
@@ -266,9 +266,6 @@
             self.derive();
         }
         self.pull_due(now, actions);
-        if !self.catalog.is_empty() && self.gap.give_up(now) {
-            actions.push(Action::Open(Confirmation::GaveUp));
-        }
     }
 
     /// Derives the process' place from the members.
@@ -278,7 +275,7 @@
         let feeds = self.watching.wanted || self.watchers.first().contains(&self.own.id);
         self.tree = Tree::new(&self.own, &self.members, &self.watchers);
         if feeds {
-            self.tree.add_tops(&self.own, &self.members);
+            self.tree.add_tops(&self.own, &self.members, &self.watchers);
         }
         let members = &self.members;
         self.outboxes.retain(|id, _| members.get(*id).is_some());
