--- a/crates/lavenderseam_core/tests/conformance_ownership.rs
+++ b/crates/lavenderseam_core/tests/conformance_ownership.rs
@@ -21,12 +21,14 @@
 const BALANCERS: usize = 2;
 /// Every sequence within these is taken.
 const SHORT: Bounds = Bounds {
+    lagging: [false, true, false],
     openers: 2,
     continuing: 2,
     steps: 9,
 };
 /// Sequences within these are drawn.
 const LONG: Bounds = Bounds {
+    lagging: [false, true, false],
     openers: 6,
     continuing: 8,
     steps: 60,
@@ -53,6 +55,8 @@
 
 #[derive(Clone, Copy)]
 struct Bounds {
+    /// Agents that hold the older view, as balancer 1 does.
+    lagging: [bool; AGENTS],
     openers: u32,
     continuing: u32,
     steps: usize,
@@ -121,9 +125,13 @@
         }
     }
 
-    /// Agent 1 and balancer 1 hold the older view.
-    fn view(&self, process: usize) -> &'a View {
-        &self.views[usize::from(process == 1)]
+    /// Balancer 1 holds the older view.
+    fn balancer_view(&self, balancer: usize) -> &'a View {
+        &self.views[balancer]
+    }
+
+    fn agent_view(&self, agent: usize) -> &'a View {
+        &self.views[usize::from(self.bounds.lagging[agent])]
     }
 
     fn step(&mut self, path: &mut Path) {
@@ -157,7 +165,7 @@
 
     /// A balancer takes a packet of the caller in.
     fn enter(&mut self, balancer: usize, packet: Packet, mark: u32) {
-        let view = self.view(balancer);
+        let view = self.balancer_view(balancer);
         let Routed::Forward { target, .. } = self.routers[balancer].packet(&packet, view, NOW)
         else {
             return;
@@ -180,7 +188,7 @@
             }
             Sent::Forward { .. } => self.arrive(sent, false),
             Sent::Hint(balancer, hint) => {
-                let view = self.view(*balancer);
+                let view = self.balancer_view(*balancer);
                 if let Some(order) = self.routers[*balancer].hint(hint, view, NOW) {
                     self.bag.push(Sent::Yield(agent_of(order.loser)));
                 }
@@ -216,7 +224,7 @@
             trail,
             revision: *revision,
         };
-        let view = self.view(*agent);
+        let view = self.agent_view(*agent);
         let decision = self.owners[*agent].arrival(&arrival, view, NOW, admits);
         if let Some(hint) = decision.hint {
             self.bag.push(Sent::Hint(*balancer, hint));
@@ -390,3 +398,16 @@
     expect_all_steps(take_steps(&draining(), false));
     expect_all_steps(take_steps(&joined(), false));
 }
+
+/// The target that has just joined holds the flow, and all others lag.
+#[gtest]
+fn agents_that_lag_reset_no_flow_without_token() {
+    let bounds = Bounds {
+        lagging: [true, true, false],
+        ..LONG
+    };
+    let views = joined();
+    sample(SAMPLES, |path| {
+        run(path, &views, false, bounds);
+    });
+}
