--- a/crates/lavenderseam_core/src/flow/router/mod.rs
+++ b/crates/lavenderseam_core/src/flow/router/mod.rs
@@ -5,7 +5,7 @@
 //! 2. a packet of a cached flow goes to the cached owner;
 //! 3. a packet that continues an unknown flow starts the walk over the targets that may hold it,
 //!    in rendezvous order; the agents pass it on until it reaches the owner;
-//! 4. an opener goes to one of the two targets that rank first for its flow, see [`Loads`].
+//! 4. an opener goes to one of the two targets that rank first for its flow, by their loads.
 //!
 //! Hints of the agents fill the cache and tell loads. Losing them costs hops, never flows, so a
 //! balancer asks only for as many as its budget of control traffic allows.
