--- a/crates/lavenderseam_bench/src/run/injector.rs
+++ b/crates/lavenderseam_bench/src/run/injector.rs
@@ -301,6 +301,11 @@
                 let fault = fabric::Fault::ForgetOldest { count: *count };
                 remote::post(network.fabric_control(), FAULT_PATH, &fault).await
             }
+            (Action::Cut, Subject::Process(process)) => {
+                let process = self.cluster.host(process)?;
+                let fault = fabric::Fault::Cut { process, on };
+                remote::post(network.fabric_control(), FAULT_PATH, &fault).await
+            }
             (Action::Cut, Subject::Pair { service, process }) => {
                 let fault = fabric::Fault::CutPair {
                     service: self.cluster.service(service)?,
--- a/crates/lavenderseam_bench/src/schedule/action.rs
+++ b/crates/lavenderseam_bench/src/schedule/action.rs
@@ -123,7 +123,7 @@
             Self::Kill | Self::Freeze | Self::Restart | Self::Stop => {
                 "a process: balancer-N, agent-TARGET or backend-TARGET"
             }
-            Self::Cut => "SERVICE/PROCESS, or flows:N",
+            Self::Cut => "SERVICE/PROCESS, a process by itself, or flows:N",
             Self::Cold | Self::Drain => "a target of the deployment",
             Self::Lie => "TARGET:healthy, TARGET:unhealthy, TARGET:idle or TARGET:full",
             Self::StoreDown => "no subject",
@@ -186,7 +186,9 @@
     if let Some(count) = text.strip_prefix("flows:") {
         return count.parse().ok().map(Subject::Flows);
     }
-    let (service, name) = text.split_once('/')?;
+    let Some((service, name)) = text.split_once('/') else {
+        return process(text, deployment).map(Subject::Process);
+    };
     let mut services = deployment.groups.iter();
     services.find(|group| group.name == service)?;
     Some(Subject::Pair {
