--- a/crates/lavenderseam_core/src/relay/node/repair.rs
+++ b/crates/lavenderseam_core/src/relay/node/repair.rs
@@ -14,7 +14,7 @@
 /// Time for which differing digests are left to the pushes on their way.
 const REPAIR_DELAY: Duration = Duration::from_millis(500);
 /// Silence after which a member asks another process.
-const SILENCE: Duration = Duration::from_secs(3);
+const SILENCE: Duration = Duration::from_secs(5);
 /// The same for a process whose own record isn't known, so that no one pushes to it.
 const SILENCE_UNLISTED: Duration = Duration::from_secs(1);
 /// Pulls on their way at a time.
@@ -114,17 +114,12 @@
         }
     }
 
-    /// A process to ask: parents and watchers by turns, any other member now and then, the seeds
-    /// while no members are known.
+    /// A process to ask: the parents by turns, any other member now and then, the seeds while no
+    /// members are known.
     fn candidate(&mut self) -> Option<SocketAddr> {
         let draw = self.draw();
-        let near: Vec<MemberId> = self
-            .tree
-            .parents
-            .iter()
-            .chain(self.watchers.first())
-            .copied()
-            .collect();
+        // Only the heads of the tree ask the watchers; if all did, these would answer the fleet.
+        let near = self.tree.parents.clone();
         let any = draw.is_multiple_of(4) || near.is_empty();
         let member = if any && !self.members.is_empty() {
             let at = (draw >> 8) as usize % self.members.len();
