--- a/crates/lavenderseam_core/src/flow/owner/mod.rs
+++ b/crates/lavenderseam_core/src/flow/owner/mod.rs
@@ -14,6 +14,7 @@
 //! doesn't know.
 
 mod table;
+mod unowned;
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -26,6 +27,8 @@
 use crate::time::Instant;
 use crate::view::{Service, Standing, View};
 use table::Table;
+use unowned::Unowned;
+pub use unowned::{RESET_DELAY, RESET_MEMORY};
 
 /// Bounds of an owner's state.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -92,6 +95,7 @@
     group: Group,
     domain: Domain,
     table: Table,
+    unowned: Unowned,
 }
 
 impl Owner {
@@ -109,6 +113,7 @@
             group,
             domain,
             table: Table::new(settings),
+            unowned: Unowned::default(),
         }
     }
 
@@ -184,22 +189,23 @@
             return Err(Reason::Loop);
         }
         if let Some(token) = packet.token {
-            return self.decide_token(arrival, token, view);
+            return self.decide_token(arrival, token, view, now);
         }
         if self.table.touch(packet.flow, now) {
             return Ok(Action::Deliver { opened: false });
         }
         match packet.kind {
             Kind::Opener => self.decide_opener(arrival, service, view, now, admits),
-            Kind::Continuing => self.walk(arrival, service, view),
+            Kind::Continuing => self.walk(arrival, service, view, now),
         }
     }
 
     fn decide_token(
-        &self,
+        &mut self,
         arrival: &Arrival<'_>,
         token: Token,
         view: &View,
+        now: Instant,
     ) -> Result<Action, Reason> {
         if token.owner == self.target {
             return Ok(Action::Deliver { opened: false });
@@ -211,7 +217,7 @@
             return Err(Reason::ForeignToken);
         }
         if !owner.holds_flows() {
-            return reset(arrival, view);
+            return self.reset(arrival, view, now);
         }
         if arrival.trail.contains(&token.owner) {
             return Err(Reason::Loop);
@@ -239,16 +245,34 @@
 
     /// Hands a packet of a flow that isn't owned here to the next target that may hold it.
     fn walk(
-        &self,
+        &mut self,
         arrival: &Arrival<'_>,
         service: &Service,
         view: &View,
+        now: Instant,
     ) -> Result<Action, Reason> {
         let flow = arrival.packet.flow;
         match order::first_holder(service, flow, |tag| self.visited(arrival, tag)) {
             Some(next) => self.pass(arrival, next.tag, next.peer, view),
-            None => reset(arrival, view),
+            None => self.reset(arrival, view, now),
+        }
+    }
+
+    /// A reset is true only if neither a sender knows more targets than this view does, nor one
+    /// has just joined that none of them knows.
+    fn reset(
+        &mut self,
+        arrival: &Arrival<'_>,
+        view: &View,
+        now: Instant,
+    ) -> Result<Action, Reason> {
+        if arrival.revision > view.revision() {
+            return Err(Reason::StaleView);
         }
+        if !self.unowned.persists(arrival.packet.flow, now) {
+            return Err(Reason::Unowned);
+        }
+        Ok(Action::Reset)
     }
 
     fn pass(
@@ -295,14 +319,6 @@
     }
 }
 
-/// A reset is true only if no sender knows more targets than this view does.
-fn reset(arrival: &Arrival<'_>, view: &View) -> Result<Action, Reason> {
-    if arrival.revision > view.revision() {
-        return Err(Reason::StaleView);
-    }
-    Ok(Action::Reset)
-}
-
 impl Default for Settings {
     fn default() -> Self {
         Self {
--- a/crates/lavenderseam_core/src/flow/packet.rs
+++ b/crates/lavenderseam_core/src/flow/packet.rs
@@ -52,11 +52,13 @@
     Loop,
     /// The sender's view is newer: targets unknown to this view may own the flow.
     StaleView,
+    /// Nobody seems to own the flow, but not for long enough to reset it.
+    Unowned,
 }
 
 impl Reason {
     /// All reasons, for counters.
-    pub const ALL: [Self; 9] = [
+    pub const ALL: [Self; 10] = [
         Self::UnknownService,
         Self::OtherService,
         Self::ForeignToken,
@@ -66,6 +68,7 @@
         Self::HopLimit,
         Self::Loop,
         Self::StaleView,
+        Self::Unowned,
     ];
 
     /// The reason's name in metrics.
@@ -81,6 +84,7 @@
             Self::HopLimit => "hop_limit",
             Self::Loop => "loop",
             Self::StaleView => "stale_view",
+            Self::Unowned => "unowned",
         }
     }
 }
