--- a/crates/lavenderseam_core/src/relay/node/forward.rs
+++ b/crates/lavenderseam_core/src/relay/node/forward.rs
@@ -22,6 +22,7 @@
 impl Node {
     pub(super) fn pushed(&mut self, push: Push, now: Instant, actions: &mut Vec<Action>) {
         self.heard = now;
+        self.unanswered = 0;
         self.take(push.entries, Some(push.from), actions);
         self.stamped_by(push.from, push.stamp, now);
     }
--- a/crates/lavenderseam_core/src/relay/node/mod.rs
+++ b/crates/lavenderseam_core/src/relay/node/mod.rs
@@ -136,6 +136,8 @@
     gap: Gap,
     watching: Watching,
     pulls: BTreeMap<SocketAddr, Instant>,
+    /// Pulls without an answer since another process was last heard.
+    unanswered: usize,
     repair: Option<Repair>,
 }
 
@@ -161,6 +163,7 @@
             gap: Gap::new(now),
             watching: Watching::new(now),
             pulls: BTreeMap::new(),
+            unanswered: 0,
             repair: None,
         }
     }
--- a/crates/lavenderseam_core/src/relay/node/repair.rs
+++ b/crates/lavenderseam_core/src/relay/node/repair.rs
@@ -17,8 +17,10 @@
 const SILENCE: Duration = Duration::from_secs(5);
 /// The same for a process whose own record isn't known, so that no one pushes to it.
 const SILENCE_UNLISTED: Duration = Duration::from_secs(1);
-/// Pulls on their way at a time.
+/// Pulls on their way at a time while the process may not act on its records.
 const PULL_LIMIT: usize = 3;
+/// The same otherwise.
+const PULL_LIMIT_OPEN: usize = 2;
 /// Most entries of an answer that isn't limited to a bucket.
 const ANSWER_LIMIT: usize = 2048;
 /// Age of a peer's records at which they confirm one's own without further ado.
@@ -88,7 +90,12 @@
         let listed = self.members.get(self.own.id).is_some();
         let limit = if listed { SILENCE } else { SILENCE_UNLISTED };
         let silent = now.since(self.heard) > limit;
-        let busy = self.pulls.len() >= if self.gap.is_closed() { PULL_LIMIT } else { 1 };
+        let limit = if self.gap.is_closed() {
+            PULL_LIMIT
+        } else {
+            PULL_LIMIT_OPEN
+        };
+        let busy = self.pulls.len() >= limit;
         if busy || !(silent || self.gap.is_closed()) {
             return;
         }
@@ -114,28 +121,22 @@
         }
     }
 
-    /// A process to ask: the parents by turns, any other member now and then, the seeds while no
-    /// members are known.
+    /// A process to ask: the parents in turn, and any other member once they don't answer; a seed
+    /// while no members are known. Only the heads of the tree so ask the watchers; if all did, these
+    /// would answer the whole fleet.
     fn candidate(&mut self) -> Option<SocketAddr> {
-        let draw = self.draw();
-        // Only the heads of the tree ask the watchers; if all did, these would answer the fleet.
-        let near = self.tree.parents.clone();
-        let any = draw.is_multiple_of(4) || near.is_empty();
-        let member = if any && !self.members.is_empty() {
-            let at = (draw >> 8) as usize % self.members.len();
-            self.members.iter().nth(at)
-        } else {
-            let at = (draw >> 8) as usize % near.len().max(1);
-            near.get(at).and_then(|id| self.members.get(*id))
+        let draw = self.draw() >> 8;
+        let turn = self.unanswered + self.pulls.len();
+        let member = match self.tree.parents.get(turn) {
+            Some(parent) => self.members.get(*parent),
+            None => {
+                let at = draw as usize % self.members.len().max(1);
+                self.members.iter().nth(at)
+            }
         };
-        let other = member
-            .filter(|member| member.id != self.own.id)
-            .map(|member| member.rpc);
-        let seed = self
-            .seeds
-            .get((draw >> 16) as usize % self.seeds.len().max(1))
-            .copied();
-        let address = other.or(seed)?;
+        let other = member.filter(|member| member.id != self.own.id);
+        let seed = self.seeds.get(draw as usize % self.seeds.len().max(1));
+        let address = other.map(|member| member.rpc).or(seed.copied())?;
         (!self.pulls.contains_key(&address)).then_some(address)
     }
 
@@ -166,6 +167,7 @@
     ) {
         self.pulls.remove(&address);
         let Some(answer) = answer else {
+            self.unanswered += 1;
             if self
                 .repair
                 .as_ref()
@@ -176,6 +178,7 @@
             return;
         };
         self.heard = now;
+        self.unanswered = 0;
         let peer = answer.from;
         if let Some(bucket) = &answer.bucket {
             self.take_bucket(bucket, &answer, actions);
--- a/crates/lavenderseam_core/tests/relay.rs
+++ b/crates/lavenderseam_core/tests/relay.rs
@@ -208,3 +208,16 @@
     fleet.run(seconds(1800));
     assert_that!(fleet.store.list().len(), eq(held));
 }
+
+#[gtest]
+fn a_process_whose_parents_are_dead_asks_others() {
+    let mut fleet = settled(240, 3, 14);
+    for process in fleet.processes.iter_mut().skip(3).step_by(10) {
+        process.alive = false;
+    }
+    for round in 0..5 {
+        let id = fleet.set_domain(&format!("domain-{round}"), DomainState::Out);
+        let took = fleet.until(seconds(9), |fleet| fleet.in_force(&id));
+        assert_that!(took, some(lt(seconds(9))));
+    }
+}
