--- a/crates/lavenderseam_agent/src/server/request.rs
+++ b/crates/lavenderseam_agent/src/server/request.rs
@@ -4,10 +4,13 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use futures::future::FusedFuture;
 use h3::error::StreamError;
 use h3::server::RequestResolver;
 use http::{HeaderValue, Method, Request, Response, StatusCode, header as field};
 use lavenderseam_core::request::{Refusal, Stage};
+use lavenderseam_telemetry::trace::{self, Hop, Span};
+use quinn::{ConnectionError, StoppedError};
 use tokio::time::Instant;
 
 use super::{Server, edit, repeatable, reply};
@@ -16,8 +19,6 @@
 
 /// Time for a request that names none and isn't a live feed.
 const DEADLINE_DEFAULT: Duration = Duration::from_secs(60);
-/// Time in which the caller must have taken in an answer that is sent whole.
-const RECEIPT_TIMEOUT: Duration = Duration::from_secs(10);
 /// Media type of a live feed.
 const FEED: &str = "text/event-stream";
 
@@ -67,6 +68,7 @@
         return;
     };
     let kind = Kind::new(&request);
+    let _span = trace(&request).map(|trace| Span::new(Hop::Agent, "request", trace));
     let mut exchange = Exchange {
         deadline: deadline(&request, kind),
         id: request.headers().get(&header::REQUEST_ID).cloned(),
@@ -139,10 +141,12 @@
             .map(|deadline| deadline.saturating_duration_since(Instant::now()))
     }
 
-    /// Waits until the caller has all of the answer, so that the connection isn't closed before.
+    /// Waits until the caller has all of the answer or its connection has ended, so that the
+    /// connection isn't closed before.
     async fn received(&mut self) {
-        // A caller that doesn't take the answer in holds the connection no longer than this.
-        let _ = tokio::time::timeout(RECEIPT_TIMEOUT, &mut self.watch).await;
+        if !self.watch.is_terminated() {
+            let _ = (&mut self.watch).await;
+        }
     }
 }
 
@@ -151,6 +155,8 @@
     match watch.await {
         Ok(Some(_)) => Gone::Cancelled,
         Ok(None) => std::future::pending().await,
+        // A caller that closes its connection gives up all that it still waits for.
+        Err(StoppedError::ConnectionLost(ConnectionError::ApplicationClosed(_))) => Gone::Cancelled,
         Err(_) => Gone::Lost,
     }
 }
@@ -163,6 +169,12 @@
     }
 }
 
+/// Trace of a request, from its `traceparent` field: `00-<trace>-<span>-<flags>`.
+pub(super) fn trace(request: &Request<()>) -> Option<trace::Id> {
+    let parent: String = header::parsed(request.headers(), &header::TRACEPARENT)?;
+    parent.split('-').nth(1)?.parse().ok()
+}
+
 fn deadline(request: &Request<()>, kind: Kind) -> Option<Instant> {
     let named = header::parsed(request.headers(), &header::DEADLINE).map(Duration::from_millis);
     let time = match kind {
