--- a/crates/lavenderseam_bench/src/commands/catalogue.rs
+++ b/crates/lavenderseam_bench/src/commands/catalogue.rs
@@ -69,7 +69,7 @@
     }
 }
 
-fn experiments() -> Result<Vec<(PathBuf, Experiment)>, Error> {
+pub(super) fn experiments() -> Result<Vec<(PathBuf, Experiment)>, Error> {
     let directory = Path::new(DIRECTORY);
     let entries = std::fs::read_dir(directory).map_err(|cause| Error::file(directory, cause))?;
     let mut files: Vec<PathBuf> = entries
--- a/crates/lavenderseam_bench/src/commands/mod.rs
+++ b/crates/lavenderseam_bench/src/commands/mod.rs
@@ -1,6 +1,7 @@
 //! The subcommands.
 
 mod catalogue;
+mod measure;
 mod mixed;
 mod report;
 mod run;
@@ -20,6 +21,7 @@
     Run(run::Run),
     List(catalogue::List),
     Ci(catalogue::Ci),
+    Measure(measure::Measure),
     Mixed(mixed::Mixed),
     Report(report::Report),
     Slope(slope::Slope),
@@ -37,6 +39,7 @@
             Self::Run(run) => run.execute().await,
             Self::List(list) => list.execute(),
             Self::Ci(ci) => ci.execute().await,
+            Self::Measure(measure) => measure.execute().await,
             Self::Mixed(mixed) => mixed.execute().await,
             Self::Report(report) => report.execute(),
             Self::Slope(slope) => slope.execute(),
