--- a/crates/lavenderseam_bench/src/launcher/cluster.rs
+++ b/crates/lavenderseam_bench/src/launcher/cluster.rs
@@ -297,7 +297,8 @@
         options: &Options,
         settings: &impl Serialize,
     ) -> Result<(), Error> {
-        let file = self.files(options).write(name, settings)?;
+        let file = format!("{command}-{name}");
+        let file = self.files(options).write(&file, settings)?;
         let mut arguments = vec![command.to_owned()];
         arguments.extend(settings_arguments(&file));
         self.start_process(name, programs.bench(), arguments)
