--- a/crates/lavenderseam_agent/src/peer.rs
+++ b/crates/lavenderseam_agent/src/peer.rs
@@ -34,8 +34,10 @@
         let mut buffer = vec![0; DATAGRAM_LIMIT];
         let mut out = Vec::new();
         loop {
-            // An error concerns an earlier datagram that was sent; the socket stays usable.
             let Ok((length, source)) = self.socket.recv_from(&mut buffer).await else {
+                // An error concerns an earlier datagram that was sent; if it lasts, other tasks
+                // run all the same.
+                tokio::task::yield_now().await;
                 continue;
             };
             match Frame::open(&self.key, &buffer[..length]) {
@@ -70,7 +72,7 @@
             revision: forward.revision,
         };
         let decision = self.server.flows.arrival(&arrival, &view, self.draining());
-        if let Some(hint) = decision.hint {
+        if let Some(hint) = decision.hint.filter(|_| forward.asks) {
             self.hint(hint, forward.balancer, out);
         }
         match decision.action {
--- a/crates/lavenderseam_core/src/relay/node/forward.rs
+++ b/crates/lavenderseam_core/src/relay/node/forward.rs
@@ -12,7 +12,7 @@
 /// Most records taken at once that are pushed on one by one; more are left to repair.
 const FORWARD_LIMIT: usize = 256;
 /// Gain of freshness that is worth a stamp of its own.
-const STAMP_STEP: Duration = Duration::from_secs(2);
+const STAMP_STEP: Duration = Duration::from_secs(3);
 
 /// Time for which a balancer is unreachable before its record is deleted.
 const FORGET_AFTER: Duration = Duration::from_secs(600);
@@ -22,6 +22,7 @@
 impl Node {
     pub(super) fn pushed(&mut self, push: Push, now: Instant, actions: &mut Vec<Action>) {
         self.heard = now;
+        self.unanswered = 0;
         self.take(push.entries, Some(push.from), actions);
         self.stamped_by(push.from, push.stamp, now);
     }
