--- a/crates/lavenderseam_agent/src/transport/mod.rs
+++ b/crates/lavenderseam_agent/src/transport/mod.rs
@@ -8,6 +8,7 @@
 mod connection_id;
 mod egress;
 mod endpoint;
+mod failure;
 mod reset_key;
 mod socket;
 mod stream;
--- a/crates/lavenderseam_agent/src/transport/stream.rs
+++ b/crates/lavenderseam_agent/src/transport/stream.rs
@@ -14,7 +14,9 @@
 use h3::error::Code;
 use h3::quic::{self, ConnectionErrorIncoming, StreamErrorIncoming, StreamId, WriteBuf};
 use parking_lot::Mutex;
-use quinn::{ConnectionError, ReadError, StoppedError, VarInt, WriteError};
+use quinn::{ConnectionError, StoppedError, VarInt};
+
+use super::failure::{connection_error, lost, read_error, write_error};
 
 /// Bytes read from a stream at once.
 const READ_LENGTH: usize = 16 * 1024;
@@ -329,39 +331,3 @@
     // QUIC stream ids fit the type by definition.
     StreamId::try_from(u64::from(id)).unwrap_or_else(|_| unreachable!("stream id {id}"))
 }
-
-fn connection_error(error: ConnectionError) -> ConnectionErrorIncoming {
-    match error {
-        ConnectionError::ApplicationClosed(closed) => ConnectionErrorIncoming::ApplicationClose {
-            error_code: closed.error_code.into(),
-        },
-        ConnectionError::TimedOut => ConnectionErrorIncoming::Timeout,
-        other => ConnectionErrorIncoming::Undefined(Arc::new(other)),
-    }
-}
-
-fn lost(error: ConnectionError) -> StreamErrorIncoming {
-    StreamErrorIncoming::ConnectionErrorIncoming {
-        connection_error: connection_error(error),
-    }
-}
-
-fn read_error(error: ReadError) -> StreamErrorIncoming {
-    match error {
-        ReadError::Reset(code) => StreamErrorIncoming::StreamTerminated {
-            error_code: code.into_inner(),
-        },
-        ReadError::ConnectionLost(error) => lost(error),
-        other => StreamErrorIncoming::Unknown(Box::new(other)),
-    }
-}
-
-fn write_error(error: WriteError) -> StreamErrorIncoming {
-    match error {
-        WriteError::Stopped(code) => StreamErrorIncoming::StreamTerminated {
-            error_code: code.into_inner(),
-        },
-        WriteError::ConnectionLost(error) => lost(error),
-        other => StreamErrorIncoming::Unknown(Box::new(other)),
-    }
-}
--- a/crates/lavenderseam_caller/src/caller.rs
+++ b/crates/lavenderseam_caller/src/caller.rs
@@ -8,16 +8,13 @@
 use http::{Method, Request, Response, StatusCode, Uri, header as field};
 use lavenderseam_core::request::{Budget, Ran, backoff};
 use parking_lot::Mutex;
-use quinn::crypto::rustls::QuicClientConfig;
-use rustls_pki_types::CertificateDer;
-use rustls_pki_types::pem::PemObject;
 use tokio::time::{Instant, sleep_until, timeout_at};
 
 use crate::answer::Answer;
 use crate::error::Error;
 use crate::pool::{Lease, Pool};
 use crate::statistics::Statistics;
-use crate::{Failure, Outcome, Settings, header};
+use crate::{Failure, Outcome, Settings, header, tls};
 
 /// Time before the first retry of a request whose refusal names none.
 const BACKOFF: Duration = Duration::from_millis(20);
@@ -55,7 +52,7 @@
     ///
     /// Returns [`Error`] if the root certificates can't be used.
     pub fn new(settings: Settings) -> Result<Self, Error> {
-        let tls = Arc::new(tls(&settings)?);
+        let tls = Arc::new(tls::configuration(&settings)?);
         let statistics = Arc::new(Mutex::new(Statistics::default()));
         let pool = Pool::new(settings.clone(), tls, Arc::clone(&statistics));
         let shared = Shared {
@@ -288,20 +285,3 @@
         _ => backoff(count, BACKOFF, BACKOFF_LIMIT, random),
     }
 }
-
-fn tls(settings: &Settings) -> Result<QuicClientConfig, Error> {
-    let failed = |error| Error::Roots(settings.root_file.clone(), error);
-    let mut roots = rustls::RootCertStore::empty();
-    for certificate in CertificateDer::pem_file_iter(&settings.root_file).map_err(failed)? {
-        let certificate = certificate.map_err(failed)?;
-        roots.add(certificate).map_err(Error::Tls)?;
-    }
-    let provider = Arc::new(rustls::crypto::ring::default_provider());
-    let mut tls = rustls::ClientConfig::builder_with_provider(provider)
-        .with_protocol_versions(&[&rustls::version::TLS13])
-        .map_err(Error::Tls)?
-        .with_root_certificates(roots)
-        .with_no_client_auth();
-    tls.alpn_protocols = vec![b"h3".to_vec()];
-    QuicClientConfig::try_from(tls).map_err(Error::Cipher)
-}
--- a/crates/lavenderseam_caller/src/lib.rs
+++ b/crates/lavenderseam_caller/src/lib.rs
@@ -17,6 +17,7 @@
 mod pool;
 mod settings;
 mod statistics;
+mod tls;
 
 pub use answer::Answer;
 pub use caller::Caller;
