--- a/crates/lavenderseam_bench/src/launcher/credentials.rs
+++ b/crates/lavenderseam_bench/src/launcher/credentials.rs
@@ -1,5 +1,7 @@
 //! Keys and certificates of a deployment.
 
+use std::fs::File;
+use std::io::Write;
 use std::path::{Path, PathBuf};
 
 use rand::RngExt;
@@ -41,6 +43,9 @@
     bytes.iter().map(|byte| format!("{byte:02x}")).collect()
 }
 
+/// Writes a new file; one that exists belongs to another process.
 pub(crate) fn write(path: &Path, content: &str) -> Result<(), Error> {
-    std::fs::write(path, content).map_err(|cause| Error::file(path, cause))
+    let failed = |cause| Error::file(path, cause);
+    let mut file = File::create_new(path).map_err(failed)?;
+    file.write_all(content.as_bytes()).map_err(failed)
 }
--- a/crates/lavenderseam_bench/tests/launcher.rs
+++ b/crates/lavenderseam_bench/tests/launcher.rs
@@ -2,7 +2,9 @@
 
 #![allow(clippy::unwrap_used, reason = "helpers of tests")]
 
-use std::path::Path;
+use std::io::{BufRead, BufReader};
+use std::process::{Command, Stdio};
+use std::time::{Duration, Instant};
 
 use googletest::prelude::*;
 use lavenderseam_bench::Error;
@@ -21,8 +23,10 @@
         .unwrap()
 }
 
+/// Whether a process runs; one that has ended may still wait for its parent to take note.
 fn runs(id: u32) -> bool {
-    Path::new(&format!("/proc/{id}")).exists()
+    let status = std::fs::read_to_string(format!("/proc/{id}/status"));
+    status.is_ok_and(|status| !status.contains("State:\tZ"))
 }
 
 #[gtest]
@@ -44,6 +48,30 @@
     expect_that!(directory.exists(), eq(false));
 }
 
+#[gtest]
+fn leaves_no_process_behind_when_it_is_killed() {
+    let mut bench = Command::new(env!("CARGO_BIN_EXE_lavenderseam_bench"))
+        .args(["up", "khangai", "--stand-ins-only", "--seconds", "60"])
+        .stdout(Stdio::piped())
+        .spawn()
+        .unwrap();
+    let output = BufReader::new(bench.stdout.take().unwrap());
+    let mut lines = output.lines().map_while(std::result::Result::ok);
+    let files = lines.find_map(|line| line.strip_prefix("files in ").map(str::to_owned));
+    let ids = lines.filter_map(|line| line.split_whitespace().next()?.parse().ok());
+    let ids: Vec<u32> = ids.take(12).collect();
+    expect_that!(ids, len(eq(12)));
+    expect_that!(ids.iter().all(|id| runs(*id)), eq(true));
+    bench.kill().unwrap();
+    bench.wait().unwrap();
+    let deadline = Instant::now() + Duration::from_secs(10);
+    while ids.iter().any(|id| runs(*id)) && Instant::now() < deadline {
+        std::thread::sleep(Duration::from_millis(10));
+    }
+    std::fs::remove_dir_all(files.unwrap()).unwrap();
+    expect_that!(ids.iter().any(|id| runs(*id)), eq(false));
+}
+
 #[gtest]
 #[tokio::test]
 async fn ends_a_paused_process() {
