--- a/crates/lavenderseam_bench/src/launcher/cluster.rs
+++ b/crates/lavenderseam_bench/src/launcher/cluster.rs
@@ -1,6 +1,6 @@
 //! All processes of a deployment.
 
-use std::net::{IpAddr, SocketAddr};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
@@ -11,7 +11,7 @@
 use super::files::Files;
 use super::{Deployment, Network, Placement, Process, Programs, readiness, records};
 use crate::Error;
-use crate::standins::{backend, fabric, hashing, platform};
+use crate::standins::platform;
 
 /// Longest wait for a deployment to serve.
 const READY_LIMIT: Duration = Duration::from_secs(20);
@@ -65,11 +65,11 @@
 /// All processes of a deployment; dropping it ends them.
 #[derive(Debug)]
 pub struct Cluster {
-    deployment: Deployment,
-    network: Network,
-    placements: Vec<Placement>,
+    pub(super) deployment: Deployment,
+    pub(super) network: Network,
+    pub(super) placements: Vec<Placement>,
     processes: Vec<Process>,
-    credentials: Credentials,
+    pub(super) credentials: Credentials,
     directory: Directory,
 }
 
@@ -183,71 +183,6 @@
             .collect()
     }
 
-    /// The target of a name.
-    ///
-    /// # Errors
-    ///
-    /// Returns [`Error::UnknownProcess`].
-    pub fn placement(&self, target: &str) -> Result<&Placement, Error> {
-        let mut placements = self.placements.iter();
-        placements
-            .find(|placement| placement.target == target)
-            .ok_or_else(|| Error::UnknownProcess(target.to_owned()))
-    }
-
-    /// Address of the service of a name.
-    ///
-    /// # Errors
-    ///
-    /// Returns [`Error::UnknownProcess`].
-    pub fn service(&self, name: &str) -> Result<SocketAddr, Error> {
-        let mut services = self.deployment.groups.iter();
-        let index = services.position(|group| group.name == name);
-        index
-            .map(|index| self.network.service(index))
-            .ok_or_else(|| Error::UnknownProcess(name.to_owned()))
-    }
-
-    /// IP address of a balancer, or of an agent or backend server.
-    ///
-    /// # Errors
-    ///
-    /// Returns [`Error::UnknownProcess`].
-    pub fn host(&self, process: &str) -> Result<IpAddr, Error> {
-        let mut balancers = 0..self.deployment.balancers;
-        if let Some(index) = balancers.find(|index| Deployment::balancer_name(*index) == process) {
-            return Ok(self.network.balancer_fabric(index).ip());
-        }
-        let target = process.strip_prefix("agent-");
-        let target = target.or(process.strip_prefix("backend-"));
-        let placement = self.placement(target.unwrap_or(process))?;
-        Ok(self.network.agent_peer(placement.index).ip())
-    }
-
-    /// Whether a process is a balancer or an agent.
-    pub(crate) fn is_daemon(&self, process: &str) -> bool {
-        let mut balancers = 0..self.deployment.balancers;
-        let is_balancer = balancers.any(|index| Deployment::balancer_name(index) == process);
-        is_balancer || process.starts_with("agent-")
-    }
-
-    /// Names and addresses for remote calls of all daemons.
-    #[must_use]
-    pub fn daemons(&self) -> Vec<(String, SocketAddr)> {
-        let balancers = 0..self.deployment.balancers;
-        let mut daemons: Vec<(String, SocketAddr)> = balancers
-            .map(|index| {
-                let address = self.network.balancer_rpc(index);
-                (Deployment::balancer_name(index), address)
-            })
-            .collect();
-        daemons.extend(self.placements.iter().map(|placement| {
-            let address = self.network.agent_rpc(placement.index);
-            (format!("agent-{}", placement.target), address)
-        }));
-        daemons
-    }
-
     fn start_stand_ins(&mut self, programs: &Programs, options: &Options) -> Result<(), Error> {
         let platform = platform::Settings {
             address: self.network.store(),
@@ -327,68 +262,6 @@
         }
     }
 
-    fn fabric_settings(&self, options: &Options) -> fabric::Settings {
-        let services = 0..self.deployment.groups.len();
-        let balancers = 0..self.deployment.balancers;
-        fabric::Settings {
-            services: services.map(|index| self.network.service(index)).collect(),
-            ingress: self.network.ingress(),
-            egress: self.network.egress(),
-            control: self.network.fabric_control(),
-            balancers: balancers
-                .map(|index| fabric::Balancer {
-                    name: Deployment::balancer_name(index),
-                    address: match options.system {
-                        System::Lavenderseam => self.network.balancer_fabric(index),
-                        System::Hashing => self.network.hashing(index),
-                    },
-                })
-                .collect(),
-            delay_in_us: self.deployment.delay_in_us,
-            delay_out_us: self.deployment.delay_out_us,
-            seed: options.seed,
-        }
-    }
-
-    fn hashing_settings(&self, index: usize) -> hashing::Settings {
-        let services = self.deployment.groups.iter().enumerate();
-        let target = |placement: &Placement| hashing::Target {
-            name: placement.target.clone(),
-            group: placement.group.name.to_owned(),
-            domain: placement.domain.to_owned(),
-            peer: self.network.agent_peer(placement.index),
-            backend: self.network.backend(placement.index),
-        };
-        hashing::Settings {
-            address: self.network.hashing(index),
-            key_file: self.credentials.key_file.clone(),
-            store: self.network.store(),
-            services: services
-                .map(|(index, group)| hashing::Service {
-                    address: self.network.service(index),
-                    group: group.name.to_owned(),
-                })
-                .collect(),
-            targets: self.placements.iter().map(target).collect(),
-        }
-    }
-
-    fn backend_settings(&self, placement: &Placement, options: &Options) -> backend::Settings {
-        backend::Settings {
-            target: placement.target.clone(),
-            service: placement.group.name.to_owned(),
-            address: self.network.backend(placement.index),
-            control: self.network.backend_control(placement.index),
-            slots: placement.group.slots,
-            connections: placement.group.connections,
-            cold_ms: options.cold_ms,
-            ramp_ms: options.ramp_ms,
-            work_ms: options.work_ms,
-            cold: false,
-            journal: self.journal(placement),
-        }
-    }
-
     fn controls(&self) -> Vec<SocketAddr> {
         let mut controls = vec![self.network.store_control(), self.network.fabric_control()];
         let backends = self.placements.iter();
--- /dev/null
+++ b/crates/lavenderseam_bench/src/launcher/lookup.rs
@@ -0,0 +1,73 @@
+//! Finds targets, services and processes of a cluster by name.
+
+use std::net::{IpAddr, SocketAddr};
+
+use super::{Cluster, Deployment, Placement};
+use crate::Error;
+
+impl Cluster {
+    /// The target of a name.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::UnknownProcess`].
+    pub fn placement(&self, target: &str) -> Result<&Placement, Error> {
+        let mut placements = self.placements.iter();
+        placements
+            .find(|placement| placement.target == target)
+            .ok_or_else(|| Error::UnknownProcess(target.to_owned()))
+    }
+
+    /// Address of the service of a name.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::UnknownProcess`].
+    pub fn service(&self, name: &str) -> Result<SocketAddr, Error> {
+        let mut services = self.deployment.groups.iter();
+        let index = services.position(|group| group.name == name);
+        index
+            .map(|index| self.network.service(index))
+            .ok_or_else(|| Error::UnknownProcess(name.to_owned()))
+    }
+
+    /// IP address of a balancer, or of an agent or backend server.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::UnknownProcess`].
+    pub fn host(&self, process: &str) -> Result<IpAddr, Error> {
+        let mut balancers = 0..self.deployment.balancers;
+        if let Some(index) = balancers.find(|index| Deployment::balancer_name(*index) == process) {
+            return Ok(self.network.balancer_fabric(index).ip());
+        }
+        let target = process.strip_prefix("agent-");
+        let target = target.or(process.strip_prefix("backend-"));
+        let placement = self.placement(target.unwrap_or(process))?;
+        Ok(self.network.agent_peer(placement.index).ip())
+    }
+
+    /// Whether a process is a balancer or an agent.
+    pub(crate) fn is_daemon(&self, process: &str) -> bool {
+        let mut balancers = 0..self.deployment.balancers;
+        let is_balancer = balancers.any(|index| Deployment::balancer_name(index) == process);
+        is_balancer || process.starts_with("agent-")
+    }
+
+    /// Names and addresses for remote calls of all daemons.
+    #[must_use]
+    pub fn daemons(&self) -> Vec<(String, SocketAddr)> {
+        let balancers = 0..self.deployment.balancers;
+        let mut daemons: Vec<(String, SocketAddr)> = balancers
+            .map(|index| {
+                let address = self.network.balancer_rpc(index);
+                (Deployment::balancer_name(index), address)
+            })
+            .collect();
+        daemons.extend(self.placements.iter().map(|placement| {
+            let address = self.network.agent_rpc(placement.index);
+            (format!("agent-{}", placement.target), address)
+        }));
+        daemons
+    }
+}
--- a/crates/lavenderseam_bench/src/launcher/mod.rs
+++ b/crates/lavenderseam_bench/src/launcher/mod.rs
@@ -7,11 +7,13 @@
 mod credentials;
 mod deployment;
 mod files;
+mod lookup;
 mod network;
 mod process;
 mod programs;
 mod readiness;
 mod records;
+mod stand_in;
 
 pub use cluster::{Cluster, Options, System};
 pub use credentials::SERVER_NAME;
