Push deletions at once

A push now names a record that is no longer held as deleted as of the revision that the sender is complete through.

--- a/crates/lavenderseam_core/src/relay/node/forward.rs
+++ b/crates/lavenderseam_core/src/relay/node/forward.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use super::{Action, Node};
-use crate::catalog::Entry;
-use crate::record::Kind;
+use crate::catalog::{Catalog, Entry};
+use crate::record::{Id, Kind};
 use crate::relay::age;
 use crate::relay::{MemberId, Push, Stamp};
 use crate::time::Instant;
@@ -142,7 +142,7 @@
             let Some(ids) = outbox.next(now) else {
                 continue;
             };
-            let entries = ids.iter().filter_map(|id| self.catalog.entry(id).cloned());
+            let entries = ids.into_iter().map(|id| latest(&self.catalog, id));
             let push = Push {
                 from: self.own.id,
                 entries: entries.collect(),
@@ -157,3 +157,12 @@
         }
     }
 }
+
+/// The entry held for a record. One that was held and is no longer has been deleted, and the
+/// deletion was forgotten when the catalog became complete.
+fn latest(catalog: &Catalog, id: Id) -> Entry {
+    match catalog.entry(&id) {
+        Some(entry) => entry.clone(),
+        None => Entry::new(id, catalog.complete()),
+    }
+}
--- a/crates/lavenderseam_core/tests/relay.rs
+++ b/crates/lavenderseam_core/tests/relay.rs
@@ -221,3 +221,13 @@
         assert_that!(took, some(lt(seconds(9))));
     }
 }
+
+#[gtest]
+fn a_deletion_is_in_force_everywhere_at_once() {
+    let mut fleet = settled(60, 2, 15);
+    let id = fleet.set_domain("suva-a", DomainState::Out);
+    fleet.run(seconds(5));
+    fleet.store.delete(&id);
+    let took = fleet.until(seconds(9), Fleet::converged);
+    assert_that!(took, some(lt(Duration::from_millis(500))));
+}
