--- a/crates/lavenderseam_bench/src/standins/fabric/state.rs
+++ b/crates/lavenderseam_bench/src/standins/fabric/state.rs
@@ -11,6 +11,10 @@
 /// Silence after which a balancer is left out, in milliseconds.
 const SILENCE_LIMIT_MS: u64 = 1_000;
 
+/// Time since its last packet in which a flow counts as open; callers send keep-alives each
+/// second.
+const RECENT_MS: u64 = 1_500;
+
 /// State of the fabric; times are in milliseconds since the epoch.
 #[derive(Debug)]
 pub struct State {
@@ -19,12 +23,19 @@
     cut: BTreeSet<IpAddr>,
     cut_pairs: BTreeSet<(SocketAddr, IpAddr)>,
     forgotten: BTreeSet<SocketAddr>,
-    callers: BTreeMap<SocketAddr, u64>,
+    callers: BTreeMap<SocketAddr, Heard>,
     /// Packets that each agent has sent to each caller.
     sent: BTreeMap<SocketAddr, BTreeMap<IpAddr, u64>>,
     report: Report,
 }
 
+/// When a caller's first and last packet came.
+#[derive(Clone, Copy, Debug)]
+struct Heard {
+    first_ms: u64,
+    last_ms: u64,
+}
+
 #[derive(Debug)]
 struct Member {
     balancer: Balancer,
@@ -77,7 +88,11 @@
             self.report.cut += 1;
             return None;
         }
-        self.callers.entry(caller).or_insert(now_ms);
+        let heard = self.callers.entry(caller).or_insert(Heard {
+            first_ms: now_ms,
+            last_ms: now_ms,
+        });
+        heard.last_ms = now_ms;
         let serving = self.serving(now_ms);
         if serving.is_empty() {
             self.report.unserved += 1;
@@ -166,11 +181,14 @@
         self.report.forgotten.push(caller);
     }
 
+    /// The longest established flows among those that are still heard of.
     fn oldest(&self, count: usize) -> Vec<SocketAddr> {
+        let latest = self.callers.values().map(|heard| heard.last_ms).max();
+        let recent = latest.unwrap_or(0).saturating_sub(RECENT_MS);
         let known = self.callers.iter();
         let mut callers: Vec<(u64, SocketAddr)> = known
-            .filter(|(caller, _)| !self.forgotten.contains(caller))
-            .map(|(caller, since)| (*since, *caller))
+            .filter(|(caller, heard)| heard.last_ms >= recent && !self.forgotten.contains(caller))
+            .map(|(caller, heard)| (heard.first_ms, *caller))
             .collect();
         callers.sort_unstable();
         let oldest = callers.into_iter().take(count);
--- a/crates/lavenderseam_bench/tests/fabric.rs
+++ b/crates/lavenderseam_bench/tests/fabric.rs
@@ -95,6 +95,17 @@
     expect_that!(state.report(1_003).forgotten, elements_are![eq(&first)]);
 }
 
+#[gtest]
+fn forgets_only_flows_that_are_open() {
+    let mut state = serving(1);
+    let (ended, open) = (caller(50_000), caller(50_001));
+    state.route(ended, service(), 10, 1_000);
+    state.route(open, service(), 10, 1_001);
+    state.route(open, service(), 10, 1_900 + 1_000);
+    state.set(&Fault::ForgetOldest { count: 1 });
+    expect_that!(state.report(3_000).forgotten, elements_are![eq(&open)]);
+}
+
 #[gtest]
 fn knows_the_owner_by_what_it_sends() {
     let mut state = serving(1);
