--- a/crates/lavenderseam_balancer/examples/loopback_rate.rs
+++ b/crates/lavenderseam_balancer/examples/loopback_rate.rs
@@ -12,7 +12,7 @@
 
 use lavenderseam_app::App;
 use lavenderseam_balancer::{BalancerPlugin, Settings};
-use lavenderseam_control::{Gate, Identity, Role, Views};
+use lavenderseam_control::{Echoes, Gate, Identity, Role, Views};
 use lavenderseam_core::catalog::{Catalog, Entry, Revision};
 use lavenderseam_core::flow::Token;
 use lavenderseam_core::id::{Balancer, Domain, Group, Incarnation, Region, Tag, Target};
@@ -107,6 +107,7 @@
     });
     app.insert(Metrics::new("rate"));
     app.insert(Views::new()).publish(view(target)?);
+    app.insert(Echoes::new());
     let gate = app.insert(Gate::new());
     app.add(&BalancerPlugin::new(text.parse::<Settings>()?))
         .map_err(|error| error.to_string())?;
--- a/crates/lavenderseam_balancer/src/plugin.rs
+++ b/crates/lavenderseam_balancer/src/plugin.rs
@@ -8,9 +8,11 @@
 use std::time::Duration;
 
 use lavenderseam_app::{App, Error, Guard, Plugin, Shutdown};
-use lavenderseam_control::{Gate, Identity, Views};
+use lavenderseam_control::{Echoes, Gate, Identity, Views};
 use lavenderseam_core::flow::{Router, router};
 use lavenderseam_telemetry::{Log, Metrics};
+use lavenderseam_wire::Echo;
+use tokio::sync::broadcast::{self, error::RecvError};
 
 use crate::counters::Reported;
 use crate::shared::Shared;
@@ -86,6 +88,11 @@
         };
         let threads = self.start(&shared, &sockets).map_err(failed)?;
         app.spawn("balancer views", views(Arc::clone(&shared), app.shutdown()));
+        let echoes = app.resource::<Echoes>()?.subscribe();
+        app.spawn(
+            "balancer loads",
+            loads(Arc::clone(&shared), echoes, app.shutdown()),
+        );
         app.spawn(
             "balancer report",
             report(
@@ -124,6 +131,20 @@
     }
 }
 
+/// Notes the open flows that targets tell with their answers to probes.
+async fn loads(shared: Arc<Shared>, mut echoes: broadcast::Receiver<Echo>, mut shutdown: Shutdown) {
+    loop {
+        tokio::select! {
+            () = shutdown.halted() => return,
+            echo = echoes.recv() => match echo {
+                Ok(echo) => shared.router.load(echo.target, echo.flows, shared.now()),
+                Err(RecvError::Lagged(_)) => {}
+                Err(RecvError::Closed) => return,
+            },
+        }
+    }
+}
+
 /// Reports the counters until the app is halted.
 async fn report(shared: Arc<Shared>, metrics: Arc<Metrics>, mut shutdown: Shutdown) {
     let mut reported = Reported::default();
--- a/crates/lavenderseam_balancer/tests/data_path.rs
+++ b/crates/lavenderseam_balancer/tests/data_path.rs
@@ -10,7 +10,7 @@
 use googletest::prelude::*;
 use lavenderseam_app::App;
 use lavenderseam_balancer::{BalancerPlugin, Counters, Event, Settings};
-use lavenderseam_control::{Gate, Identity, Role, Views};
+use lavenderseam_control::{Echoes, Gate, Identity, Role, Views};
 use lavenderseam_core::catalog::{Catalog, Entry, Revision};
 use lavenderseam_core::flow::{Key as FlowKey, Reason, Token};
 use lavenderseam_core::id::{Balancer, Domain, Group, Incarnation, Region, Tag, Target};
@@ -138,6 +138,7 @@
         app.insert(Metrics::new("test"));
         let views = app.insert(Views::new());
         views.publish(View::new(&catalog));
+        app.insert(Echoes::new());
         let gate = app.insert(Gate::new());
         gate.set(true);
         let settings = settings(balancer, peer, fabric.local_addr().unwrap());
--- a/crates/lavenderseam_control/src/lib.rs
+++ b/crates/lavenderseam_control/src/lib.rs
@@ -1,11 +1,12 @@
 //! The control plane that balancers and agents share: identity, records, membership, liveness.
 //!
 //! [`ControlPlugin`] is the first plugin of every daemon; the others use the resources that it
-//! inserts: [`Identity`], [`Views`], [`Gate`], [`Methods`], [`Announcement`], [`Remote`] and the
+//! inserts: [`Identity`], [`Views`], [`Gate`], [`Methods`], [`Announcement`], [`Echoes`], [`Remote`] and the
 //! metrics.
 
 mod announce;
 mod clock;
+mod echoes;
 mod gate;
 mod identity;
 mod methods;
@@ -20,6 +21,7 @@
 mod status;
 mod views;
 
+pub use echoes::Echoes;
 pub use gate::Gate;
 pub use identity::{Identity, Role};
 pub use methods::Methods;
--- a/crates/lavenderseam_control/src/plugin.rs
+++ b/crates/lavenderseam_control/src/plugin.rs
@@ -19,7 +19,7 @@
 
 use crate::clock::Clock;
 use crate::shared::{Relay, Shared};
-use crate::{Announcement, Gate, Identity, Methods, Remote, Role, Settings, Views};
+use crate::{Announcement, Echoes, Gate, Identity, Methods, Remote, Role, Settings, Views};
 use crate::{announce, probe, publish, server};
 
 const PART: &str = "control";
@@ -132,6 +132,7 @@
             own_deleted: Notify::new(),
             views: app.insert(Views::new()),
             gate: app.insert(Gate::new()),
+            echoes: app.insert(Echoes::new()),
             metrics: app.insert(self.metrics.clone()),
             remote: app.insert(Remote::new(&identity.key)),
             log: Log::new(PART),
--- a/crates/lavenderseam_control/src/probe.rs
+++ b/crates/lavenderseam_control/src/probe.rs
@@ -127,6 +127,7 @@
             return;
         };
         if let Body::Echo(echo) = frame.body {
+            self.shared.echoes.publish(echo.clone());
             let echo = Echo {
                 target: echo.target,
                 nonce: echo.nonce,
--- a/crates/lavenderseam_control/src/shared.rs
+++ b/crates/lavenderseam_control/src/shared.rs
@@ -15,7 +15,7 @@
 
 use crate::clock::Clock;
 use crate::remote::Remote;
-use crate::{Gate, Identity, Role, Views, server};
+use crate::{Echoes, Gate, Identity, Role, Views, server};
 
 /// What the view's task is told.
 pub(crate) enum Change {
@@ -39,6 +39,7 @@
     pub(crate) own_deleted: Notify,
     pub(crate) views: Arc<Views>,
     pub(crate) gate: Arc<Gate>,
+    pub(crate) echoes: Arc<Echoes>,
     pub(crate) metrics: Arc<Metrics>,
     pub(crate) remote: Arc<Remote>,
     pub(crate) log: Log,
