--- a/crates/lavenderseam_cli/src/command/read.rs
+++ b/crates/lavenderseam_cli/src/command/read.rs
@@ -84,7 +84,7 @@
     for target in &targets {
         let _ = writeln!(
             text,
-            "  target {} group {} failure domain {} {:?}",
+            "  target {} group {} failure domain {} {}",
             target.name, target.group, target.domain, target.standing
         );
     }
@@ -121,7 +121,7 @@
         "name": target.name,
         "group": target.group,
         "domain": target.domain,
-        "standing": format!("{:?}", target.standing).to_lowercase(),
+        "standing": target.standing.to_string(),
     })
 }
 
--- a/crates/lavenderseam_core/src/view/candidate.rs
+++ b/crates/lavenderseam_core/src/view/candidate.rs
@@ -1,5 +1,6 @@
 //! A target as routing sees it.
 
+use std::fmt;
 use std::net::SocketAddr;
 
 use crate::{id, record};
@@ -69,3 +70,14 @@
         matches!(self.standing, Standing::Serving | Standing::Down)
     }
 }
+
+impl fmt::Display for Standing {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(match self {
+            Self::Serving => "serving",
+            Self::Down => "down",
+            Self::Draining => "draining",
+            Self::Out => "out",
+        })
+    }
+}
