Run pass-through services on the users' machines, the whole path thin

The users' platform hands a balancer opaque packets whose backend server sits behind an agent on its own VM. The product had no service whose packets reach the backend server unread.

Change: lavenderseam_passthrough decides (sans-I/O), lavenderseam_node runs the decisions, platform/ translates the platform's packets, settings, heartbeats and store.

--- /dev/null
+++ b/crates/lavenderseam_node/src/agent/work.rs
@@ -0,0 +1,350 @@
+//! Feeds the agent's decisions.
+
+use std::cell::{Cell, RefCell};
+use std::io;
+use std::net::{SocketAddr, SocketAddrV4};
+use std::rc::Rc;
+use std::time::Duration;
+
+use ::http::StatusCode;
+use lavenderseam_passthrough::agent::{Action, Agent, Beat, Heartbeat, Outbound, Verdict};
+use lavenderseam_passthrough::message::{Carry, Message, Returned};
+use lavenderseam_passthrough::segment::Segment;
+use tokio::net::TcpStream;
+
+use super::Directory;
+use crate::clock::Clock;
+use crate::codec::Codec;
+use crate::http::{Answer, Request, Service};
+use crate::log::{Change, Event, Log};
+use crate::metrics::{ByReason, Metrics, Word};
+use crate::peer::{self, Peers};
+use crate::socket::Socket;
+
+/// Longest wait for a connection to the backend server, which is on the same VM.
+const PROBE_LIMIT: Duration = Duration::from_millis(500);
+
+/// The agent and what it works with.
+#[derive(Debug)]
+pub(crate) struct Work<C> {
+    pub(crate) codec: C,
+    pub(crate) clock: Clock,
+    pub(crate) agent: RefCell<Agent>,
+    pub(crate) packets: Socket,
+    pub(crate) peers: Peers,
+    pub(crate) outbound: Socket,
+    pub(crate) backend: Socket,
+    pub(crate) backend_address: SocketAddrV4,
+    pub(crate) log: Log,
+    pub(crate) metrics: Rc<Metrics>,
+    pub(crate) probing: Cell<bool>,
+}
+
+/// Answers that the agent runs.
+pub(crate) struct Ready;
+
+impl<C: Codec> Work<C> {
+    pub(crate) fn log(&self, event: &Event) {
+        self.log.write(event, self.clock.now());
+    }
+
+    pub(crate) fn seed(&self, seeds: &[SocketAddrV4]) {
+        let now = self.clock.now();
+        let mut agent = self.agent.borrow_mut();
+        for seed in seeds {
+            agent.seed(*seed, now);
+        }
+    }
+
+    /// Takes messages of balancers as they come.
+    pub(crate) async fn serve_peers(&self) {
+        self.peers
+            .receive(|received| match received {
+                Ok((Message::Carry(carry), packet, from)) => self.carried(carry, packet, from),
+                Ok((Message::Welcome(welcome), _, from)) => {
+                    let now = self.clock.now();
+                    self.agent.borrow_mut().welcomed(&welcome, from, now);
+                }
+                Ok((_, _, from)) => {
+                    self.unreadable("process", &format!("{from} takes this agent for a balancer"));
+                }
+                Err(error) => self.message_failed(&error),
+            })
+            .await;
+    }
+
+    /// Takes packets of the backend server as they come.
+    pub(crate) async fn serve_outbound(&self) {
+        self.outbound
+            .receive(|received| match received {
+                Ok((bytes, _)) => self.sent(bytes),
+                Err(error) => self.socket_failed("outbound", &error),
+            })
+            .await;
+    }
+
+    /// Waits for word that the backend server's port is closed.
+    pub(crate) async fn serve_backend(&self) {
+        self.backend
+            .receive(|received| match received {
+                Ok(_) => {}
+                Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => {
+                    self.ended("port closed");
+                }
+                Err(error) => self.socket_failed("backend", &error),
+            })
+            .await;
+    }
+
+    /// Lets time pass.
+    pub(crate) async fn tick(self: Rc<Self>, period: Duration, directory: impl Directory) {
+        let directory = Rc::new(directory);
+        loop {
+            tokio::time::sleep(period).await;
+            let now = self.clock.now();
+            let actions = self.agent.borrow_mut().tick(now);
+            for action in actions {
+                match action {
+                    Action::Announce { to, announcement } => {
+                        self.send(&Message::Announcement(announcement), &[], to);
+                    }
+                    Action::FindBalancers => {
+                        let (own, directory) = (Rc::clone(&self), Rc::clone(&directory));
+                        tokio::task::spawn_local(async move {
+                            own.find_balancers(directory.as_ref()).await;
+                        });
+                    }
+                    Action::Probe => {
+                        let own = Rc::clone(&self);
+                        tokio::task::spawn_local(async move { own.probe().await });
+                    }
+                }
+            }
+            let load = self.agent.borrow_mut().load(now);
+            self.metrics.flows.set(i64::from(load.flows));
+            self.metrics.busy.set(i64::from(load.busy));
+            self.log.flush(now);
+        }
+    }
+
+    pub(crate) fn reload(&self, read: &impl Fn() -> Option<Result<Vec<SocketAddrV4>, String>>) {
+        let error = match read() {
+            None => return,
+            Some(Ok(seeds)) => {
+                self.seed(&seeds);
+                None
+            }
+            Some(Err(error)) => Some(error),
+        };
+        let accepted = error.is_none();
+        self.log(&Event::Reload { accepted, error });
+    }
+
+    pub(crate) fn heartbeat(&self, beat: &Heartbeat) -> bool {
+        let now = self.clock.now();
+        let taken = self.agent.borrow_mut().heartbeat(beat, now);
+        let reason = match taken {
+            Ok(Beat::Known) => return true,
+            Ok(Beat::Changed) => "changed",
+            Ok(Beat::New { replaces: false }) => "started",
+            Ok(Beat::New { replaces: true }) => "replaced",
+            Err(rejection) => {
+                self.unreadable("backend", &rejection);
+                return false;
+            }
+        };
+        self.log(&Event::Backend {
+            id: beat.id.clone(),
+            standing: self.agent.borrow().standing(),
+            sequence: Some(beat.sequence),
+            reason,
+        });
+        self.announce();
+        true
+    }
+
+    pub(crate) fn departed(&self, id: &str) {
+        let now = self.clock.now();
+        if self.agent.borrow_mut().departed(id, now) {
+            self.backend_ended(id, "departed");
+        }
+    }
+
+    pub(crate) fn unreadable(&self, source: &'static str, error: &impl ToString) {
+        self.metrics.malformed.inc();
+        self.log(&Event::Malformed {
+            source,
+            error: error.to_string(),
+        });
+    }
+
+    fn ended(&self, reason: &'static str) {
+        let now = self.clock.now();
+        if self.agent.borrow_mut().refused(now) {
+            self.backend_ended("", reason);
+        }
+    }
+
+    fn backend_ended(&self, id: &str, reason: &'static str) {
+        self.log(&Event::Backend {
+            id: id.to_owned(),
+            standing: self.agent.borrow().standing(),
+            sequence: None,
+            reason,
+        });
+        self.announce();
+    }
+
+    fn announce(&self) {
+        let now = self.clock.now();
+        let actions = self.agent.borrow_mut().announcements(now);
+        for action in actions {
+            if let Action::Announce { to, announcement } = action {
+                self.send(&Message::Announcement(announcement), &[], to);
+            }
+        }
+    }
+
+    fn carried(&self, carry: Carry, bytes: &mut [u8], balancer: SocketAddrV4) {
+        self.metrics.packets.inc();
+        let now = self.clock.now();
+        let segment = match self.codec.read_from_caller(bytes) {
+            Ok(packet) => packet.segment,
+            Err(error) => return self.unreadable("balancer", &error),
+        };
+        if segment.is_opener() {
+            self.metrics.openers.inc();
+        }
+        let verdict = {
+            let mut agent = self.agent.borrow_mut();
+            agent.carried(&segment, carry, balancer, now)
+        };
+        match verdict {
+            Verdict::Deliver { mark, held } => {
+                self.metrics.forwarded.inc();
+                self.codec.mark(bytes, mark);
+                self.deliver(bytes);
+                if let Some(held) = held {
+                    self.send(&Message::Held(held), &[], balancer);
+                }
+            }
+            Verdict::Return(returned) => self.give_back(&segment, returned, bytes, balancer),
+            Verdict::Drop => {}
+        }
+    }
+
+    fn deliver(&self, bytes: &[u8]) {
+        match self.backend.send(bytes) {
+            Ok(()) => {}
+            Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => {
+                self.ended("port closed");
+            }
+            Err(error) => self.socket_failed("backend", &error),
+        }
+    }
+
+    fn give_back(
+        &self,
+        segment: &Segment,
+        returned: Returned,
+        bytes: &[u8],
+        balancer: SocketAddrV4,
+    ) {
+        let reason = returned.reason;
+        let by = ByReason {
+            reason: Word(reason),
+        };
+        self.metrics.returned.get_or_create(&by).inc();
+        self.log(&Event::Return {
+            flow: segment.flow,
+            opener: segment.is_opener(),
+            balancer,
+            reason,
+            load: returned.load,
+        });
+        self.send(&Message::Returned(returned), bytes, balancer);
+    }
+
+    fn sent(&self, bytes: &mut [u8]) {
+        let now = self.clock.now();
+        let packet = match self.codec.read_from_backend(bytes) {
+            Ok(packet) => packet,
+            Err(error) => return self.unreadable("backend", &error),
+        };
+        let segment = &packet.segment;
+        let outbound = {
+            let mut agent = self.agent.borrow_mut();
+            agent.outbound(segment, packet.bounced, now)
+        };
+        match outbound {
+            Outbound::Caller => {
+                let caller = self.codec.caller(segment);
+                if let Err(error) = self.packets.send_to(bytes, caller) {
+                    self.socket_failed("packets", &error);
+                }
+            }
+            Outbound::Return { balancer, returned } => {
+                self.codec.mark(bytes, 0);
+                self.give_back(segment, returned, bytes, balancer);
+            }
+            Outbound::Drop => {}
+        }
+    }
+
+    async fn find_balancers(&self, directory: &impl Directory) {
+        match directory.balancers().await {
+            Ok(balancers) => self.seed(&balancers),
+            Err(error) => self.log(&Event::Dependency {
+                name: "store",
+                change: Change::Lost,
+                reason: error.to_string(),
+            }),
+        }
+    }
+
+    /// Tries the backend server's port: if it is closed, the backend server has ended.
+    async fn probe(&self) {
+        if self.probing.replace(true) {
+            return;
+        }
+        let address = SocketAddr::V4(self.backend_address);
+        let connected = tokio::time::timeout(PROBE_LIMIT, TcpStream::connect(address)).await;
+        self.probing.set(false);
+        if let Ok(Err(error)) = connected
+            && error.kind() == io::ErrorKind::ConnectionRefused
+        {
+            self.ended("connection refused");
+        }
+    }
+
+    fn send(&self, message: &Message, packet: &[u8], to: SocketAddrV4) {
+        if let Err(error) = self.peers.send(message, packet, to) {
+            self.message_failed(&error);
+        }
+    }
+
+    fn message_failed(&self, error: &peer::Error) {
+        match error {
+            peer::Error::Message(_) => self.metrics.malformed.inc(),
+            peer::Error::Socket(_) => self.metrics.socket_errors.inc(),
+        };
+        self.log(&Event::Malformed {
+            source: "process",
+            error: error.to_string(),
+        });
+    }
+
+    fn socket_failed(&self, socket: &'static str, error: &io::Error) {
+        self.metrics.socket_errors.inc();
+        self.log(&Event::Socket {
+            socket,
+            error: error.to_string(),
+        });
+    }
+}
+
+impl Service for Ready {
+    fn answer(&self, _: &Request) -> Answer {
+        Answer::empty(StatusCode::OK)
+    }
+}
--- /dev/null
+++ b/crates/lavenderseam_node/src/log/event.rs
@@ -0,0 +1,241 @@
+//! What is logged.
+
+use std::net::SocketAddrV4;
+
+use lavenderseam_core::catalog::Revision;
+use lavenderseam_passthrough::balancer::Cause;
+use lavenderseam_passthrough::flow::Flow;
+use lavenderseam_passthrough::message::{Load, Reason, Standing, Trail};
+use serde::{Serialize, Serializer};
+
+/// Whether a dependency answers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Change {
+    /// It no longer answers.
+    Lost,
+    /// It answers again.
+    Regained,
+}
+
+/// What the balancer does about a packet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Measure {
+    /// The caller is told to give the flow up.
+    Reset,
+    /// The packet is dropped.
+    Drop,
+    /// The packet goes to another target.
+    Forward,
+}
+
+/// An event worth a line.
+#[derive(Clone, Debug, Serialize)]
+#[serde(tag = "event", rename_all = "snake_case")]
+pub enum Event {
+    /// The process has started.
+    Start {
+        /// What it does.
+        role: &'static str,
+        /// Its failure domain.
+        domain: String,
+        /// Its address for messages between processes.
+        address: SocketAddrV4,
+    },
+    /// The process was asked to stop.
+    Stop,
+    /// The settings were read again.
+    Reload {
+        /// Whether they can be used; the old ones are kept otherwise.
+        accepted: bool,
+        /// What is wrong with them.
+        error: Option<String>,
+    },
+    /// A dependency was lost or regained.
+    Dependency {
+        /// What it is.
+        name: &'static str,
+        /// Lost or regained.
+        change: Change,
+        /// What was seen.
+        reason: String,
+    },
+    /// The process can serve, or no longer can.
+    Ready {
+        /// Whether it can.
+        ready: bool,
+    },
+    /// A newer desired state is in force.
+    Desired {
+        /// Revision of the store.
+        revision: Revision,
+        /// The operators' version number.
+        version: u64,
+        /// Number of routes.
+        routes: usize,
+        /// Where it came from.
+        source: &'static str,
+    },
+    /// Other failure domains are out.
+    Outs {
+        /// Revision of the store.
+        revision: Revision,
+        /// Their names.
+        domains: Vec<String>,
+        /// Where it came from.
+        source: &'static str,
+    },
+    /// A target was heard of, or its standing has changed.
+    Target {
+        /// Its agent.
+        agent: SocketAddrV4,
+        /// Its service.
+        service: String,
+        /// Its failure domain.
+        domain: String,
+        /// Its state.
+        standing: Standing,
+        /// Its load.
+        load: Load,
+    },
+    /// An agent has been silent for long and is forgotten.
+    Forgot {
+        /// The agent.
+        agent: SocketAddrV4,
+    },
+    /// A balancer gives a packet up.
+    Packet {
+        /// Its flow.
+        flow: Flow,
+        /// Whether it opens the flow.
+        opener: bool,
+        /// What is done.
+        measure: Measure,
+        /// Why.
+        cause: Cause,
+        /// Revision of the desired state that decided it.
+        revision: Revision,
+        /// Revision of the failure domains that are out.
+        outs: Revision,
+    },
+    /// An agent has returned a packet to the balancer.
+    Returned {
+        /// Its flow.
+        flow: Flow,
+        /// Whether it opens the flow.
+        opener: bool,
+        /// The agent.
+        agent: SocketAddrV4,
+        /// Why it was returned.
+        reason: Reason,
+        /// The target's load.
+        load: Load,
+        /// Where else it has been.
+        trail: Trail,
+    },
+    /// The agent returns a packet.
+    Return {
+        /// Its flow.
+        flow: Flow,
+        /// Whether it opens the flow.
+        opener: bool,
+        /// The balancer.
+        balancer: SocketAddrV4,
+        /// Why.
+        reason: Reason,
+        /// The target's load.
+        load: Load,
+    },
+    /// The backend server's standing has changed.
+    Backend {
+        /// Its id.
+        id: String,
+        /// Its state.
+        standing: Standing,
+        /// Sequence number of the heartbeat; none if something else told.
+        sequence: Option<u64>,
+        /// What told.
+        reason: &'static str,
+    },
+    /// Bytes that can't be read.
+    Malformed {
+        /// Where they came from.
+        source: &'static str,
+        /// What is wrong.
+        error: String,
+    },
+    /// A socket failed.
+    Socket {
+        /// Which one.
+        socket: &'static str,
+        /// How.
+        error: String,
+    },
+    /// Lines of a kind that exceeded its budget in the last second.
+    Suppressed {
+        /// The kind.
+        of: Name,
+        /// Number of lines.
+        lines: u32,
+    },
+    /// Lines lost because the reader had no room.
+    Lost {
+        /// Number of lines.
+        lines: u32,
+    },
+}
+
+/// Name of a kind of event.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Name(&'static str, bool);
+
+impl Event {
+    /// Name of its kind.
+    #[must_use]
+    pub const fn name(&self) -> Name {
+        let name = match self {
+            Self::Start { .. } => "start",
+            Self::Stop => "stop",
+            Self::Reload { .. } => "reload",
+            Self::Dependency { .. } => "dependency",
+            Self::Ready { .. } => "ready",
+            Self::Desired { .. } => "desired",
+            Self::Outs { .. } => "outs",
+            Self::Target { .. } => "target",
+            Self::Forgot { .. } => "forgot",
+            Self::Packet { .. } => "packet",
+            Self::Returned { .. } => "returned",
+            Self::Return { .. } => "return",
+            Self::Backend { .. } => "backend",
+            Self::Malformed { .. } => "malformed",
+            Self::Socket { .. } => "socket",
+            Self::Suppressed { .. } => "suppressed",
+            Self::Lost { .. } => "lost",
+        };
+        Name(name, self.is_rare())
+    }
+
+    /// Whether it always gets its line, at once.
+    #[must_use]
+    pub const fn is_rare(&self) -> bool {
+        matches!(
+            self,
+            Self::Start { .. } | Self::Stop | Self::Reload { .. } | Self::Ready { .. }
+        )
+    }
+}
+
+impl Name {
+    /// Whether events of this kind always get their line.
+    #[must_use]
+    pub const fn is_rare(self) -> bool {
+        self.1
+    }
+}
+
+impl Serialize for Name {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.serialize_str(self.0)
+    }
+}
--- /dev/null
+++ b/crates/lavenderseam_passthrough/src/agent/balancers.rs
@@ -0,0 +1,70 @@
+//! The balancers that an agent announces its target to.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddrV4;
+
+use lavenderseam_core::time::Instant;
+
+use super::Settings;
+
+#[derive(Clone, Copy, Debug)]
+struct Balancer {
+    /// When it was last heard, or learned of.
+    heard: Instant,
+    announced: Option<Instant>,
+}
+
+/// The balancers known.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Balancers {
+    known: BTreeMap<SocketAddrV4, Balancer>,
+    /// When one was last heard.
+    heard: Instant,
+    asked: Instant,
+}
+
+impl Balancers {
+    /// Learns of a balancer.
+    pub(crate) fn insert(&mut self, address: SocketAddrV4, now: Instant) {
+        self.known.entry(address).or_insert(Balancer {
+            heard: now,
+            announced: None,
+        });
+    }
+
+    /// Notes a message of a balancer.
+    pub(crate) fn heard(&mut self, address: SocketAddrV4, now: Instant) {
+        self.heard = now;
+        let balancer = self.known.entry(address).or_insert(Balancer {
+            heard: now,
+            announced: None,
+        });
+        balancer.heard = now;
+    }
+
+    /// The balancers that are due for an announcement; all of them if `all`.
+    pub(crate) fn due(&mut self, settings: &Settings, all: bool, now: Instant) -> Vec<SocketAddrV4> {
+        self.known
+            .retain(|_, balancer| now.since(balancer.heard) < settings.forget);
+        let mut due = Vec::new();
+        for (address, balancer) in &mut self.known {
+            let quiet = now.since(balancer.heard) >= settings.quiet;
+            let period = if quiet { settings.retry } else { settings.announce };
+            let waited = balancer.announced.is_none_or(|at| now.since(at) >= period);
+            if waited || (all && !quiet) {
+                balancer.announced = Some(now);
+                due.push(*address);
+            }
+        }
+        due
+    }
+
+    /// Whether no balancer has been heard for so long that the store should be asked.
+    pub(crate) fn is_alone(&mut self, settings: &Settings, now: Instant) -> bool {
+        let alone = now.since(self.heard.max(self.asked)) >= settings.alone;
+        if alone {
+            self.asked = now;
+        }
+        alone
+    }
+}
--- /dev/null
+++ b/crates/lavenderseam_passthrough/src/agent/mod.rs
@@ -0,0 +1,462 @@
+//! The agent's decisions: which packets its backend server gets.
+//!
+//! The agent sees every packet to and from its backend server, so it knows which flows that one
+//! holds, what it is working on and whether it is cold or leaving. An opener is admitted only if
+//! the backend server can take it now; a packet of a flow that isn't held here goes back to the
+//! balancer with the reason.
+//!
+//! An agent that was restarted beside a running backend server doesn't know its flows. It then
+//! hands over packets of unknown flows with a mark, and the backend server bounces those that it
+//! doesn't hold.
+
+mod backend;
+mod balancers;
+mod flows;
+mod pending;
+mod settings;
+mod warmup;
+
+use std::net::SocketAddrV4;
+
+use lavenderseam_core::catalog::Revision;
+use lavenderseam_core::time::Instant;
+
+use crate::flow::{Flow, Table};
+use crate::message::{
+    Announcement, Carry, Held, Load, Reason, Returned, ServiceTag, Standing, Welcome,
+};
+use crate::segment::Segment;
+use backend::Backend;
+pub use backend::{Beat, Heartbeat, Rejection};
+use balancers::Balancers;
+use flows::{Flows, State};
+use pending::Pending;
+pub use settings::Settings;
+use warmup::Warmup;
+
+/// Which target an agent stands beside.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Place {
+    /// Name of the target's service.
+    pub service: String,
+    /// Failure domain that it lives in.
+    pub domain: String,
+    /// Number of this run of the agent, drawn at its start.
+    pub run: u64,
+}
+
+/// What becomes of a packet that a balancer sent.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// The backend server gets it.
+    Deliver {
+        /// What it is marked with, so that a bounce can be told; 0 if none is expected.
+        mark: u32,
+        /// What the balancer is told, if anything.
+        held: Option<Held>,
+    },
+    /// It goes back to the balancer.
+    Return(Returned),
+    /// It is dropped, because the backend server would not take it and no other target may.
+    Drop,
+}
+
+/// What becomes of a packet that the backend server sent.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Outbound {
+    /// The caller gets it.
+    Caller,
+    /// It was bounced and goes back to a balancer.
+    Return {
+        /// The balancer.
+        balancer: SocketAddrV4,
+        /// The message that it goes with.
+        returned: Returned,
+    },
+    /// It was bounced and its balancer isn't known; the caller sends it again.
+    Drop,
+}
+
+/// What an agent is to do as time passes.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Action {
+    /// Tell a balancer of the target.
+    Announce {
+        /// The balancer.
+        to: SocketAddrV4,
+        /// What it is told.
+        announcement: Announcement,
+    },
+    /// Look balancers up in the store.
+    FindBalancers,
+    /// Ask the backend server whether it lives: it has left packets unanswered.
+    Probe,
+}
+
+/// The decisions of one agent.
+#[derive(Debug)]
+pub struct Agent {
+    place: Place,
+    service: ServiceTag,
+    settings: Settings,
+    backend: Backend,
+    flows: Flows,
+    ended: Table<Instant>,
+    pending: Pending,
+    warmup: Warmup,
+    balancers: Balancers,
+    limits: Limits,
+    count: u64,
+    /// Whether all balancers must be told at once.
+    urgent: bool,
+    silence: Silence,
+}
+
+/// What balancers said of the service.
+#[derive(Clone, Debug, Default)]
+struct Limits {
+    revision: Revision,
+    cold_rate: Option<f64>,
+    connections: Option<u32>,
+    outs: Revision,
+    out: bool,
+}
+
+/// Whether the backend server still sends anything.
+#[derive(Clone, Copy, Debug, Default)]
+struct Silence {
+    /// The first packet handed over since the backend server last sent one.
+    since: Option<Instant>,
+    probed: Option<Instant>,
+}
+
+/// How long a backend server may leave packets unanswered before it is asked whether it lives: it
+/// answers a handshake within a millisecond and a request within its longest work.
+const SILENCE: std::time::Duration = std::time::Duration::from_millis(500);
+/// Time between two such questions.
+const PROBE_PAUSE: std::time::Duration = std::time::Duration::from_secs(1);
+
+impl Agent {
+    /// An agent that knows nothing yet.
+    #[must_use]
+    pub fn new(place: Place) -> Self {
+        Self::with_settings(place, Settings::default())
+    }
+
+    /// An agent with other bounds.
+    #[must_use]
+    pub fn with_settings(place: Place, settings: Settings) -> Self {
+        Self {
+            service: ServiceTag::new(&place.service),
+            place,
+            settings,
+            backend: Backend::default(),
+            flows: Flows::default(),
+            ended: Table::default(),
+            pending: Pending::default(),
+            warmup: Warmup::default(),
+            balancers: Balancers::default(),
+            limits: Limits::default(),
+            count: 0,
+            urgent: false,
+            silence: Silence::default(),
+        }
+    }
+
+    /// Decides a packet that a balancer sent.
+    pub fn carried(
+        &mut self,
+        segment: &Segment,
+        carry: Carry,
+        balancer: SocketAddrV4,
+        now: Instant,
+    ) -> Verdict {
+        self.balancers.insert(balancer, now);
+        match self.decide(segment, &carry, now) {
+            Ok(Step::Known) => {
+                self.flows.from_caller(segment, now);
+                self.handed_over(now);
+                let known = carry.asks && !segment.is_opener();
+                let held = known.then(|| Held {
+                    flow: segment.flow,
+                    load: self.load(now),
+                });
+                Verdict::Deliver { mark: 0, held }
+            }
+            Ok(Step::Admitted | Step::Tried) => {
+                self.handed_over(now);
+                let mark = self.pending.insert(balancer, &carry);
+                Verdict::Deliver { mark, held: None }
+            }
+            Ok(Step::Dropped) => Verdict::Drop,
+            Err(reason) => Verdict::Return(Returned {
+                reason,
+                load: self.load(now),
+                carry,
+            }),
+        }
+    }
+
+    /// Decides a packet that the backend server sent.
+    ///
+    /// A bounced one comes with the mark that it was handed over with.
+    pub fn outbound(&mut self, segment: &Segment, bounced: Option<u32>, now: Instant) -> Outbound {
+        self.silence.since = None;
+        let Some(mark) = bounced else {
+            if self.flows.get(segment.flow).is_none() {
+                self.flows.find(segment.flow, now);
+            }
+            self.flows.from_backend(segment, now);
+            return Outbound::Caller;
+        };
+        let opens = segment.is_opener();
+        let entry = self.flows.get(segment.flow);
+        if entry.is_some_and(|entry| opens || entry.state != State::Closed) {
+            self.flows.remove(segment.flow, now);
+        }
+        let Some(packet) = self.pending.take(mark) else {
+            return Outbound::Drop;
+        };
+        let reason = if opens { Reason::Shed } else { Reason::NotHeld };
+        let returned = Returned {
+            reason,
+            load: self.load(now),
+            carry: packet.carry,
+        };
+        let balancer = packet.balancer;
+        Outbound::Return { balancer, returned }
+    }
+
+    /// Takes a heartbeat of the backend server.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Rejection`] if it says nothing of the present backend server.
+    pub fn heartbeat(&mut self, beat: &Heartbeat, now: Instant) -> Result<Beat, Rejection> {
+        if beat.service != self.place.service {
+            return Err(Rejection::OtherService(beat.service.clone()));
+        }
+        let taken = self.backend.beat(beat, now)?;
+        match taken {
+            Beat::Known => {}
+            Beat::Changed => self.urgent = true,
+            Beat::New { replaces } => {
+                if replaces {
+                    self.end_flows(now);
+                }
+                self.urgent = true;
+                self.warmup.clear();
+                self.silence = Silence::default();
+            }
+        }
+        Ok(taken)
+    }
+
+    /// The backend server with an id has said that it ends; returns whether it was known.
+    pub fn departed(&mut self, id: &str, now: Instant) -> bool {
+        let departed = self.backend.depart(id);
+        if departed {
+            self.end_flows(now);
+            self.urgent = true;
+        }
+        departed
+    }
+
+    /// The backend server's ports are closed, so it has ended; returns whether that is news.
+    pub fn refused(&mut self, now: Instant) -> bool {
+        let ended = self.backend.end();
+        if ended {
+            self.end_flows(now);
+            self.urgent = true;
+        }
+        ended
+    }
+
+    /// Takes a balancer's answer to an announcement.
+    pub fn welcomed(&mut self, welcome: &Welcome, from: SocketAddrV4, now: Instant) {
+        self.balancers.heard(from, now);
+        for balancer in &welcome.balancers {
+            self.balancers.insert(*balancer, now);
+        }
+        if welcome.revision >= self.limits.revision {
+            self.limits.revision = welcome.revision;
+            self.limits.cold_rate = welcome.cold_rate;
+            self.limits.connections = welcome.connections;
+        }
+        if welcome.outs >= self.limits.outs {
+            self.limits.outs = welcome.outs;
+            self.limits.out = welcome.out;
+        }
+    }
+
+    /// Learns of a balancer.
+    pub fn seed(&mut self, balancer: SocketAddrV4, now: Instant) {
+        self.balancers.insert(balancer, now);
+    }
+
+    /// Lets time pass; to be called several times a second.
+    pub fn tick(&mut self, now: Instant) -> Vec<Action> {
+        self.flows.expire(&self.settings, now);
+        let span = self.settings.ended;
+        self.ended.retain(|_, since| now.since(*since) < span);
+        let mut actions = Vec::new();
+        if self.balancers.is_alone(&self.settings, now) {
+            actions.push(Action::FindBalancers);
+        }
+        if self.must_probe(now) {
+            actions.push(Action::Probe);
+        }
+        actions.extend(self.announcements(now));
+        actions
+    }
+
+    /// The announcements that are due.
+    pub fn announcements(&mut self, now: Instant) -> Vec<Action> {
+        let all = std::mem::take(&mut self.urgent);
+        let due = self.balancers.due(&self.settings, all, now);
+        if due.is_empty() {
+            return Vec::new();
+        }
+        self.count += 1;
+        let announcement = Announcement {
+            run: self.place.run,
+            count: self.count,
+            service: self.place.service.clone(),
+            domain: self.place.domain.clone(),
+            standing: self.standing(),
+            load: self.load(now),
+        };
+        let announce = |to| Action::Announce {
+            to,
+            announcement: announcement.clone(),
+        };
+        due.into_iter().map(announce).collect()
+    }
+
+    /// State of the target.
+    #[must_use]
+    pub fn standing(&self) -> Standing {
+        self.backend.standing()
+    }
+
+    /// Work at the target.
+    pub fn load(&mut self, now: Instant) -> Load {
+        let present = self.backend.present();
+        let slots = present.map_or(0, |present| present.slots);
+        let cold = present.is_some_and(|present| present.is_cold(now));
+        let rate = self.limits.cold_rate.unwrap_or(self.settings.cold_rate);
+        let cold = cold.then(|| self.warmup.left(rate, now));
+        Load {
+            busy: self.flows.busy(),
+            mean: self.flows.mean(now),
+            slots,
+            flows: u32::try_from(self.flows.len()).unwrap_or(u32::MAX),
+            cold,
+        }
+    }
+
+    fn decide(
+        &mut self,
+        segment: &Segment,
+        carry: &Carry,
+        now: Instant,
+    ) -> Result<Step, Reason> {
+        if segment.flags.syn && segment.flags.ack {
+            // Only backend servers send these.
+            return Ok(Step::Dropped);
+        }
+        let entry = self.flows.get(segment.flow).copied();
+        if segment.is_opener() {
+            return match entry.map(|entry| entry.state) {
+                Some(State::Opening(_)) => Ok(Step::Known),
+                // A late copy of the opener says nothing to a flow that is open.
+                Some(State::Open) => Ok(Step::Dropped),
+                Some(State::Closed) | None => self.admit(segment.flow, carry, now),
+            };
+        }
+        if entry.is_some_and(|entry| entry.fits(segment)) {
+            return Ok(Step::Known);
+        }
+        if self.ended.contains_key(&segment.flow) {
+            return Err(Reason::Ended);
+        }
+        if entry.is_none() && !self.backend.is_certain() {
+            return Ok(Step::Tried);
+        }
+        Err(Reason::NotHeld)
+    }
+
+    fn admit(&mut self, flow: Flow, carry: &Carry, now: Instant) -> Result<Step, Reason> {
+        let Some(present) = self.backend.present() else {
+            return Err(Reason::Unready);
+        };
+        if carry.service != self.service {
+            return Err(Reason::OtherService);
+        }
+        if present.is_draining() {
+            return Err(Reason::Draining);
+        }
+        if self.limits.out {
+            return Err(Reason::DomainOut);
+        }
+        let (slots, cold) = (present.slots, present.is_cold(now));
+        let connections = self.limits.connections.map(|limit| limit as usize);
+        if self.flows.len() >= connections.unwrap_or(self.settings.flows) {
+            return Err(Reason::Full);
+        }
+        let queue = if carry.trail.queues {
+            slots.saturating_mul(self.settings.queue)
+        } else {
+            slots
+        };
+        if self.flows.busy() >= queue {
+            return Err(Reason::Busy);
+        }
+        if cold {
+            let rate = self.limits.cold_rate.unwrap_or(self.settings.cold_rate);
+            if self.warmup.left(rate, now) == 0 {
+                return Err(Reason::Cold);
+            }
+        }
+        // Openers count before the backend server is cold too: it may turn cold unannounced.
+        self.warmup.take(now);
+        self.flows.admit(flow, now);
+        Ok(Step::Admitted)
+    }
+
+    /// Forgets the flows of a backend server that has ended, but for the fact that it held them.
+    fn end_flows(&mut self, now: Instant) {
+        for flow in self.flows.clear(now) {
+            if self.ended.len() < self.settings.ended_limit {
+                self.ended.insert(flow, now);
+            }
+        }
+        self.pending = Pending::default();
+    }
+
+    fn handed_over(&mut self, now: Instant) {
+        self.silence.since.get_or_insert(now);
+    }
+
+    fn must_probe(&mut self, now: Instant) -> bool {
+        let silent = self.silence.since.is_some_and(|at| now.since(at) >= SILENCE);
+        let paused = self.silence.probed.is_none_or(|at| now.since(at) >= PROBE_PAUSE);
+        let probe = silent && paused && self.backend.present().is_some();
+        if probe {
+            self.silence.probed = Some(now);
+        }
+        probe
+    }
+}
+
+/// What becomes of a packet that isn't returned.
+enum Step {
+    /// Its flow is held here.
+    Known,
+    /// It opens a flow here.
+    Admitted,
+    /// The backend server is asked whether it holds the flow.
+    Tried,
+    /// It is dropped.
+    Dropped,
+}
--- /dev/null
+++ b/crates/lavenderseam_passthrough/src/balancer/settings.rs
@@ -0,0 +1,53 @@
+//! Bounds of a balancer.
+
+use std::time::Duration;
+
+/// Bounds of a balancer.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Settings {
+    /// How long the target of a silent flow is remembered at least: the longest idle time that
+    /// operators usually order, and a margin.
+    pub memory: Duration,
+    /// Flows remembered in each of the cache's two tables.
+    pub capacity: usize,
+    /// How long a target may leave an opener unanswered before a repeated one goes elsewhere:
+    /// callers repeat after 200 ms.
+    pub silence: Duration,
+    /// How long an agent may be unheard before its target gets no new flows: three announcements.
+    pub stale: Duration,
+    /// How long an agent may be unheard before it is forgotten: the longest life of a flow.
+    pub forget: Duration,
+    /// Time between gossip with other balancers.
+    pub gossip: Duration,
+    /// How long this balancer may lack a record that another one holds before it asks for it: the
+    /// store's watch usually brings it earlier.
+    pub behind: Duration,
+    /// Load in slots' share that a target in another failure domain must be better by: crossing
+    /// costs latency and traffic.
+    pub crossing: f32,
+    /// Load in slots' share that a cold backend server counts as having.
+    pub cold: f32,
+    /// Load in slots' share by which the rendezvous order of two targets decides between them, so
+    /// that balancers with the same view don't all pick the same one.
+    pub spread: f32,
+    /// How long an opener counts as work at the target it was sent to, unless the agent reports.
+    pub estimate: Duration,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            memory: Duration::from_secs(16),
+            capacity: 1 << 19,
+            silence: Duration::from_millis(150),
+            stale: Duration::from_millis(1_300),
+            forget: Duration::from_secs(60),
+            gossip: Duration::from_millis(500),
+            behind: Duration::from_millis(250),
+            crossing: 0.35,
+            cold: 0.5,
+            spread: 0.2,
+            estimate: Duration::from_millis(60),
+        }
+    }
+}
--- /dev/null
+++ b/crates/lavenderseam_passthrough/src/balancer/targets.rs
@@ -0,0 +1,276 @@
+//! The targets that a balancer has heard of, and which of them a new flow goes to.
+//!
+//! The pattern answered: flows come in steadily and each costs its target a slot for a short
+//! while, so the target with the smallest share of its slots in use is best; reports are older
+//! than most of the work they tell of, so the balancer adds what it sent since. Another failure
+//! domain is used once the own one is busier by a margin.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddrV4;
+use std::time::Duration;
+
+use lavenderseam_core::rank::score;
+use lavenderseam_core::time::Instant;
+
+use super::Settings;
+use crate::flow::Flow;
+use crate::message::{Announcement, Load, ServiceTag, Standing, Tag, Trail};
+
+/// A target as its agent announced it.
+#[derive(Clone, Debug)]
+pub(crate) struct Target {
+    /// Address of its agent.
+    pub(crate) agent: SocketAddrV4,
+    /// Its short name.
+    pub(crate) tag: Tag,
+    /// Short name of its service.
+    pub(crate) service: ServiceTag,
+    /// Failure domain that it lives in.
+    pub(crate) domain: String,
+    /// Its state.
+    pub(crate) standing: Standing,
+    /// When its agent was last heard.
+    pub(crate) heard: Instant,
+    load: Load,
+    run: u64,
+    count: u64,
+    /// The first opener that is still unanswered.
+    unanswered: Option<Instant>,
+    /// Set once openers stayed unanswered; unset by any sign of life.
+    silent: bool,
+    /// Work sent there that no report covers yet, as of `sent_at`.
+    sent: f32,
+    sent_at: Instant,
+}
+
+/// The targets known.
+#[derive(Debug, Default)]
+pub(crate) struct Targets {
+    by_tag: BTreeMap<Tag, Target>,
+}
+
+/// How an announcement changed what is known.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Change {
+    /// Only the load, or nothing.
+    Same,
+    /// The target is new or has another standing or service.
+    Changed,
+    /// The announcement is older than one heard before.
+    Late,
+}
+
+impl Targets {
+    /// Takes an announcement.
+    pub(crate) fn announced(
+        &mut self,
+        agent: SocketAddrV4,
+        announcement: &Announcement,
+        now: Instant,
+    ) -> Change {
+        let tag = Tag::new(agent);
+        let service = ServiceTag::new(&announcement.service);
+        let Some(held) = self.by_tag.get_mut(&tag) else {
+            let target = Target::new(agent, announcement, now);
+            self.by_tag.insert(tag, target);
+            return Change::Changed;
+        };
+        if held.run == announcement.run && announcement.count <= held.count {
+            return Change::Late;
+        }
+        let changed = held.standing != announcement.standing
+            || held.service != service
+            || held.domain != announcement.domain;
+        held.run = announcement.run;
+        held.count = announcement.count;
+        held.service = service;
+        held.standing = announcement.standing;
+        held.domain.clone_from(&announcement.domain);
+        held.reported(announcement.load, now);
+        if changed {
+            Change::Changed
+        } else {
+            Change::Same
+        }
+    }
+
+    /// The target with a tag.
+    pub(crate) fn get(&self, tag: Tag) -> Option<&Target> {
+        self.by_tag.get(&tag)
+    }
+
+    /// The target with a tag.
+    pub(crate) fn get_mut(&mut self, tag: Tag) -> Option<&mut Target> {
+        self.by_tag.get_mut(&tag)
+    }
+
+    /// All targets.
+    pub(crate) fn iter(&self) -> impl Iterator<Item = &Target> {
+        self.by_tag.values()
+    }
+
+    /// Forgets agents that haven't been heard for a span, and returns them.
+    pub(crate) fn forget(&mut self, span: Duration, now: Instant) -> Vec<SocketAddrV4> {
+        let gone: Vec<Tag> = self
+            .iter()
+            .filter(|target| now.since(target.heard) >= span)
+            .map(|target| target.tag)
+            .collect();
+        gone.iter()
+            .filter_map(|tag| self.by_tag.remove(tag))
+            .map(|target| target.agent)
+            .collect()
+    }
+
+    /// The best target for a new flow.
+    ///
+    /// Targets that may not answer are taken only if nothing else is left; `is_out` tells the
+    /// failure domains that get no new flows.
+    pub(crate) fn choose(
+        &self,
+        request: &Request<'_>,
+        settings: &Settings,
+        is_out: impl Fn(&str) -> bool,
+        now: Instant,
+    ) -> Option<Choice> {
+        let mut best: Option<(bool, f32, Tag)> = None;
+        for target in self.iter() {
+            if target.service != request.service
+                || target.standing != Standing::Ready
+                || request.trail.visited(target.tag)
+                || is_out(&target.domain)
+            {
+                continue;
+            }
+            let doubtful = target.is_doubtful(settings, now);
+            let cost = target.cost(request, settings, now);
+            let better = best.is_none_or(|(best_doubtful, best_cost, _)| {
+                (doubtful, cost) < (best_doubtful, best_cost)
+            });
+            if better {
+                best = Some((doubtful, cost, target.tag));
+            }
+        }
+        best.map(|(doubtful, _, tag)| Choice { tag, doubtful })
+    }
+
+    /// The next target that may hold a flow: those that answer first, then the own failure
+    /// domain's, then by rendezvous order.
+    pub(crate) fn holder(
+        &self,
+        request: &Request<'_>,
+        settings: &Settings,
+        now: Instant,
+    ) -> Option<Tag> {
+        self.iter()
+            .filter(|target| target.service == request.service)
+            .filter(|target| !request.trail.visited(target.tag))
+            .max_by_key(|target| {
+                let near = target.domain == request.domain;
+                let rank = score(request.flow.word(), u64::from(target.tag.0));
+                (!target.is_doubtful(settings, now), near, rank)
+            })
+            .map(|target| target.tag)
+    }
+}
+
+/// A flow that needs a target.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Request<'a> {
+    /// The flow.
+    pub(crate) flow: Flow,
+    /// Service that it is for.
+    pub(crate) service: ServiceTag,
+    /// Where it has been.
+    pub(crate) trail: &'a Trail,
+    /// Failure domain of the balancer.
+    pub(crate) domain: &'a str,
+}
+
+/// The target of a new flow.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Choice {
+    /// The target.
+    pub(crate) tag: Tag,
+    /// Whether it may not answer.
+    pub(crate) doubtful: bool,
+}
+
+impl Target {
+    fn new(agent: SocketAddrV4, announcement: &Announcement, now: Instant) -> Self {
+        Self {
+            agent,
+            tag: Tag::new(agent),
+            service: ServiceTag::new(&announcement.service),
+            domain: announcement.domain.clone(),
+            standing: announcement.standing,
+            heard: now,
+            load: announcement.load,
+            run: announcement.run,
+            count: announcement.count,
+            unanswered: None,
+            silent: false,
+            sent: 0.0,
+            sent_at: now,
+        }
+    }
+
+    /// Takes a report of its load, which is also a sign of life.
+    pub(crate) fn reported(&mut self, load: Load, now: Instant) {
+        self.load = load;
+        self.sent = 0.0;
+        self.answered(now);
+    }
+
+    /// Notes a sign of life.
+    pub(crate) fn answered(&mut self, now: Instant) {
+        self.heard = now;
+        self.unanswered = None;
+        self.silent = false;
+    }
+
+    /// Notes an opener sent there.
+    pub(crate) fn opened(&mut self, settings: &Settings, now: Instant) {
+        self.sent = self.pending(settings, now) + 1.0;
+        self.sent_at = now;
+        self.unanswered.get_or_insert(now);
+    }
+
+    /// Notes that a caller repeated an opener that went there; returns whether the target has
+    /// left openers unanswered for too long.
+    pub(crate) fn repeated(&mut self, settings: &Settings, now: Instant) -> bool {
+        let waited = self.unanswered.map(|since| now.since(since));
+        if waited.is_some_and(|waited| waited >= settings.silence) {
+            self.silent = true;
+        }
+        self.silent
+    }
+
+    /// Whether it may not answer.
+    pub(crate) fn is_doubtful(&self, settings: &Settings, now: Instant) -> bool {
+        self.silent || now.since(self.heard) >= settings.stale
+    }
+
+    fn pending(&self, settings: &Settings, now: Instant) -> f32 {
+        let passed = now.since(self.sent_at).as_secs_f32() / settings.estimate.as_secs_f32();
+        self.sent * (1.0 - passed).max(0.0)
+    }
+
+    /// Share of its slots in use, with a surcharge for what makes it a worse choice.
+    fn cost(&self, request: &Request<'_>, settings: &Settings, now: Instant) -> f32 {
+        let slots = f32::from(self.load.slots.max(1));
+        let busy = f32::from(self.load.busy).midpoint(f32::from(self.load.mean) / 100.0);
+        let mut cost = (busy + self.pending(settings, now)) / slots;
+        if self.load.cold.is_some() {
+            cost += settings.cold;
+        }
+        if self.load.cold == Some(0) {
+            cost += settings.cold;
+        }
+        if self.domain != request.domain {
+            cost += settings.crossing;
+        }
+        let rank = score(request.flow.word(), u64::from(self.tag.0)) >> 40;
+        cost + settings.spread * (rank as f32 / (1u32 << 24) as f32)
+    }
+}
