Serve cold targets that name no rate, reset flows that nobody holds, bound the cost of overload

Ruled out: late membership (all targets were known 0.4 s after power came back) and the store. Change: a cold rate that isn't named is no limit; a flow that every target denies is reset once the balancer has run for 3 s and hears every agent; a target that refused is not asked again for 20 to 50 ms; an opened flow without a request counts as work for 300 ms at most. Log budgets are by kind and reason.

--- a/crates/lavenderseam_node/src/agent/work.rs
+++ b/crates/lavenderseam_node/src/agent/work.rs
@@ -16,7 +16,7 @@
 use crate::clock::Clock;
 use crate::codec::Codec;
 use crate::http::{Answer, Request, Service};
-use crate::log::{Change, Event, Log};
+use crate::log::{Change, Event, Key, Log};
 use crate::metrics::{ByReason, Metrics, Word};
 use crate::peer::{self, Peers};
 use crate::socket::Socket;
@@ -255,13 +255,15 @@
             reason: Word(reason),
         };
         self.metrics.returned.get_or_create(&by).inc();
-        self.log(&Event::Return {
+        let event = || Event::Return {
             flow: segment.flow,
             opener: segment.is_opener(),
             balancer,
             reason,
             load: returned.load,
-        });
+        };
+        let now = self.clock.now();
+        self.log.write_with(Key::gives_back(reason), event, now);
         self.send(&Message::Returned(returned), bytes, balancer);
     }
 
--- a/crates/lavenderseam_node/src/balancer/records.rs
+++ b/crates/lavenderseam_node/src/balancer/records.rs
@@ -84,11 +84,13 @@
     fn desire(&self, desired: Desired, source: Source) {
         let (revision, version) = (desired.revision, desired.version);
         let routes = desired.routes.len();
+        let services = desired.services.clone();
         if self.balancer.borrow_mut().desire(desired) {
             self.log(&Event::Desired {
                 revision,
                 version,
                 routes,
+                services,
                 source: source.name(),
             });
             self.observe();
--- a/crates/lavenderseam_node/src/balancer/work.rs
+++ b/crates/lavenderseam_node/src/balancer/work.rs
@@ -16,7 +16,7 @@
 use crate::clock::Clock;
 use crate::codec::Codec;
 use crate::http::{Answer, Request, Service};
-use crate::log::{Event, Log, Measure};
+use crate::log::{Event, Key, Log, Measure};
 use crate::metrics::{ByCause, ByReason, Metrics, Word};
 use crate::peer::{self, Peers};
 use crate::socket::Socket;
@@ -169,16 +169,19 @@
     }
 
     fn give_up(&self, segment: &Segment, measure: Measure, cause: Cause, now: Instant) {
-        let balancer = self.balancer.borrow();
-        let event = Event::Packet {
-            flow: segment.flow,
-            opener: segment.is_opener(),
-            measure,
-            cause,
-            revision: balancer.desired().map_or_else(Default::default, |held| held.revision),
-            outs: balancer.outs().revision,
+        let event = || {
+            let balancer = self.balancer.borrow();
+            let desired = balancer.desired();
+            Event::Packet {
+                flow: segment.flow,
+                opener: segment.is_opener(),
+                measure,
+                cause,
+                revision: desired.map_or_else(Default::default, |held| held.revision),
+                outs: balancer.outs().revision,
+            }
         };
-        self.log.write(&event, now);
+        self.log.write_with(Key::packet(cause), event, now);
     }
 
     fn message(&self, message: Message, packet: &[u8], from: SocketAddrV4) {
@@ -211,7 +214,7 @@
                 return;
             }
         };
-        let event = Event::Returned {
+        let event = || Event::Returned {
             flow: segment.flow,
             opener: segment.is_opener(),
             agent,
@@ -219,7 +222,8 @@
             load: returned.load,
             trail: returned.carry.trail.clone(),
         };
-        self.log.write(&event, now);
+        self.log
+            .write_with(Key::returned(returned.reason), event, now);
         let verdict = {
             let mut balancer = self.balancer.borrow_mut();
             balancer.returned(&segment, returned, agent, now)
--- a/crates/lavenderseam_node/src/log/event.rs
+++ b/crates/lavenderseam_node/src/log/event.rs
@@ -1,12 +1,14 @@
 //! What is logged.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddrV4;
 
 use lavenderseam_core::catalog::Revision;
 use lavenderseam_passthrough::balancer::Cause;
+use lavenderseam_passthrough::desired::Service;
 use lavenderseam_passthrough::flow::Flow;
 use lavenderseam_passthrough::message::{Load, Reason, Standing, Trail};
-use serde::{Serialize, Serializer};
+use serde::Serialize;
 
 /// Whether a dependency answers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
@@ -74,6 +76,8 @@
         version: u64,
         /// Number of routes.
         routes: usize,
+        /// What the services' backend servers bear, by name.
+        services: BTreeMap<String, Service>,
         /// Where it came from.
         source: &'static str,
     },
@@ -175,7 +179,9 @@
     /// Lines of a kind that exceeded its budget in the last second.
     Suppressed {
         /// The kind.
-        of: Name,
+        of: &'static str,
+        /// The reason or cause that they name.
+        reason: &'static str,
         /// Number of lines.
         lines: u32,
     },
@@ -186,56 +192,66 @@
     },
 }
 
-/// Name of a kind of event.
+/// What shares a budget of lines: a kind of event, and the reason or cause that it names.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub struct Name(&'static str, bool);
+pub struct Key {
+    /// The kind.
+    pub kind: &'static str,
+    /// The reason or cause; empty if the kind names none.
+    pub reason: &'static str,
+}
 
-impl Event {
-    /// Name of its kind.
+impl Key {
+    /// Packets that a balancer gives up for a cause.
     #[must_use]
-    pub const fn name(&self) -> Name {
-        let name = match self {
-            Self::Start { .. } => "start",
-            Self::Stop => "stop",
-            Self::Reload { .. } => "reload",
-            Self::Dependency { .. } => "dependency",
-            Self::Ready { .. } => "ready",
-            Self::Desired { .. } => "desired",
-            Self::Outs { .. } => "outs",
-            Self::Target { .. } => "target",
-            Self::Forgot { .. } => "forgot",
-            Self::Packet { .. } => "packet",
-            Self::Returned { .. } => "returned",
-            Self::Return { .. } => "return",
-            Self::Backend { .. } => "backend",
-            Self::Malformed { .. } => "malformed",
-            Self::Socket { .. } => "socket",
-            Self::Suppressed { .. } => "suppressed",
-            Self::Lost { .. } => "lost",
-        };
-        Name(name, self.is_rare())
+    pub const fn packet(cause: Cause) -> Self {
+        Self {
+            kind: "packet",
+            reason: cause.name(),
+        }
     }
 
-    /// Whether it always gets its line, at once.
+    /// Packets that agents returned to a balancer for a reason.
     #[must_use]
-    pub const fn is_rare(&self) -> bool {
-        matches!(
-            self,
-            Self::Start { .. } | Self::Stop | Self::Reload { .. } | Self::Ready { .. }
-        )
+    pub const fn returned(reason: Reason) -> Self {
+        Self {
+            kind: "returned",
+            reason: reason.name(),
+        }
     }
-}
 
-impl Name {
-    /// Whether events of this kind always get their line.
+    /// Packets that an agent returns for a reason.
     #[must_use]
-    pub const fn is_rare(self) -> bool {
-        self.1
+    pub const fn gives_back(reason: Reason) -> Self {
+        Self {
+            kind: "return",
+            reason: reason.name(),
+        }
     }
 }
 
-impl Serialize for Name {
-    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
-        serializer.serialize_str(self.0)
+impl Event {
+    /// What shares its budget; none if it always gets its line, at once.
+    #[must_use]
+    pub const fn key(&self) -> Option<Key> {
+        let (kind, reason) = match self {
+            Self::Start { .. } | Self::Stop | Self::Reload { .. } | Self::Ready { .. } => {
+                return None;
+            }
+            Self::Packet { cause, .. } => return Some(Key::packet(*cause)),
+            Self::Returned { reason, .. } => return Some(Key::returned(*reason)),
+            Self::Return { reason, .. } => return Some(Key::gives_back(*reason)),
+            Self::Dependency { name, .. } => ("dependency", *name),
+            Self::Desired { source, .. } => ("desired", *source),
+            Self::Outs { source, .. } => ("outs", *source),
+            Self::Target { .. } => ("target", ""),
+            Self::Forgot { .. } => ("forgot", ""),
+            Self::Backend { reason, .. } => ("backend", *reason),
+            Self::Malformed { source, .. } => ("malformed", *source),
+            Self::Socket { socket, .. } => ("socket", *socket),
+            Self::Suppressed { .. } => ("suppressed", ""),
+            Self::Lost { .. } => ("lost", ""),
+        };
+        Some(Key { kind, reason })
     }
 }
--- a/crates/lavenderseam_passthrough/src/agent/flows.rs
+++ b/crates/lavenderseam_passthrough/src/agent/flows.rs
@@ -30,6 +30,8 @@
     pub(crate) state: State,
     /// Since when a request has been waiting for its answer.
     waiting: Option<Instant>,
+    /// Whether the caller has sent data.
+    requested: bool,
     used: Instant,
     caller_closed: bool,
     backend_closed: bool,
@@ -58,6 +60,7 @@
         let entry = Entry {
             state: State::Opening(None),
             waiting: Some(now),
+            requested: false,
             used: now,
             caller_closed: false,
             backend_closed: false,
@@ -70,6 +73,7 @@
         let entry = Entry {
             state: State::Open,
             waiting: None,
+            requested: true,
             used: now,
             caller_closed: false,
             backend_closed: false,
@@ -87,9 +91,12 @@
         if !segment.is_opener() && matches!(entry.state, State::Opening(_)) {
             entry.state = State::Open;
         }
-        if segment.length > 0 && entry.waiting.is_none() && entry.state == State::Open {
-            entry.waiting = Some(now);
-            self.busy += 1;
+        if segment.length > 0 && entry.state == State::Open {
+            entry.requested = true;
+            if entry.waiting.is_none() {
+                entry.waiting = Some(now);
+                self.busy += 1;
+            }
         }
         entry.caller_closed |= segment.flags.fin;
         if segment.flags.rst {
@@ -150,7 +157,12 @@
                 State::Closed => settings.closed,
             };
             let keep = now.since(entry.used) < limit;
-            let late = |since| !keep || now.since(since) >= settings.waiting;
+            let limit = if entry.requested {
+                settings.waiting
+            } else {
+                settings.opening
+            };
+            let late = |since| !keep || now.since(since) >= limit;
             if entry.waiting.is_some_and(late) {
                 entry.waiting = None;
                 *busy = busy.saturating_sub(1);
--- a/crates/lavenderseam_passthrough/src/agent/mod.rs
+++ b/crates/lavenderseam_passthrough/src/agent/mod.rs
@@ -115,6 +115,8 @@
 /// What balancers said of the service.
 #[derive(Clone, Debug, Default)]
 struct Limits {
+    /// Whether a balancer that knows the service has told them.
+    known: bool,
     revision: Revision,
     cold_rate: Option<f64>,
     connections: Option<u32>,
@@ -278,7 +280,8 @@
         for balancer in &welcome.balancers {
             self.balancers.insert(*balancer, now);
         }
-        if welcome.revision >= self.limits.revision {
+        if welcome.known && welcome.revision >= self.limits.revision {
+            self.limits.known = true;
             self.limits.revision = welcome.revision;
             self.limits.cold_rate = welcome.cold_rate;
             self.limits.connections = welcome.connections;
@@ -344,7 +347,7 @@
         let present = self.backend.present();
         let slots = present.map_or(0, |present| present.slots);
         let cold = present.is_some_and(|present| present.is_cold(now));
-        let rate = self.limits.cold_rate.unwrap_or(self.settings.cold_rate);
+        let rate = self.cold_rate();
         let cold = cold.then(|| self.warmup.left(rate, now));
         Load {
             busy: self.flows.busy(),
@@ -386,6 +389,15 @@
         Err(Reason::NotHeld)
     }
 
+    /// Openers a second that the backend server bears while it is cold.
+    fn cold_rate(&self) -> Option<f64> {
+        if self.limits.known {
+            self.limits.cold_rate
+        } else {
+            Some(self.settings.cold_rate)
+        }
+    }
+
     fn admit(&mut self, flow: Flow, carry: &Carry, now: Instant) -> Result<Step, Reason> {
         let Some(present) = self.backend.present() else {
             return Err(Reason::Unready);
@@ -413,7 +425,7 @@
             return Err(Reason::Busy);
         }
         if cold {
-            let rate = self.limits.cold_rate.unwrap_or(self.settings.cold_rate);
+            let rate = self.cold_rate();
             if self.warmup.left(rate, now) == 0 {
                 return Err(Reason::Cold);
             }
--- a/crates/lavenderseam_passthrough/src/agent/settings.rs
+++ b/crates/lavenderseam_passthrough/src/agent/settings.rs
@@ -17,6 +17,9 @@
     pub alone: Duration,
     /// How long an opened flow may wait for the caller: callers give an opener up after 1.4 s.
     pub embryonic: Duration,
+    /// How long an opened flow counts as work while the caller sends no request: a round trip to
+    /// the caller, and a retransmission.
+    pub opening: Duration,
     /// How long a flow may be silent: the longest idle time that operators order, and a margin.
     pub idle: Duration,
     /// How long a closed flow is still led to its backend server, which answers what is late.
@@ -46,6 +49,7 @@
             forget: Duration::from_secs(120),
             alone: Duration::from_millis(1_500),
             embryonic: Duration::from_millis(2_000),
+            opening: Duration::from_millis(300),
             idle: Duration::from_secs(40),
             closed: Duration::from_secs(5),
             ended: Duration::from_secs(10),
--- a/crates/lavenderseam_passthrough/src/agent/warmup.rs
+++ b/crates/lavenderseam_passthrough/src/agent/warmup.rs
@@ -20,8 +20,13 @@
 
 impl Warmup {
     /// Openers that may still be taken in this second.
-    pub(crate) fn left(&mut self, rate: f64, now: Instant) -> u16 {
+    ///
+    /// Without a rate the backend server is slow while it is cold, but bears any number.
+    pub(crate) fn left(&mut self, rate: Option<f64>, now: Instant) -> u16 {
         self.forget(now);
+        let Some(rate) = rate else {
+            return u16::MAX;
+        };
         let limit = rate.clamp(1.0, f64::from(u16::MAX)) as u16;
         let taken = u16::try_from(self.taken.len()).unwrap_or(u16::MAX);
         limit.saturating_sub(taken)
--- a/crates/lavenderseam_passthrough/src/balancer/mod.rs
+++ b/crates/lavenderseam_passthrough/src/balancer/mod.rs
@@ -17,6 +17,7 @@
 mod verdict;
 
 use std::net::SocketAddrV4;
+use std::time::Duration;
 
 use lavenderseam_core::catalog::Revision;
 use lavenderseam_core::time::Instant;
@@ -34,6 +35,9 @@
 use targets::{Change, Request, Targets};
 pub use verdict::{Cause, Verdict};
 
+/// Time between two ticks that means that the process stood still, so what it knows is old.
+const PAUSE: Duration = Duration::from_millis(1_000);
+
 /// Where a balancer runs.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Place {
@@ -88,6 +92,9 @@
     cache: Cache,
     peers: Peers,
     gossiped: Instant,
+    /// When time first passed here, or went on after a pause.
+    started: Option<Instant>,
+    ticked: Instant,
 }
 
 impl Balancer {
@@ -109,6 +116,8 @@
             cache: Cache::new(settings.memory, settings.capacity),
             peers: Peers::default(),
             gossiped: Instant::default(),
+            started: None,
+            ticked: Instant::default(),
             settings,
         }
     }
@@ -138,6 +147,8 @@
         let tag = Tag::new(agent);
         if let Some(target) = self.targets.get_mut(tag) {
             target.reported(returned.load, now);
+            let queues = returned.carry.trail.queues;
+            target.refused(returned.reason, queues, &self.settings, now);
         }
         let mut trail = returned.carry.trail;
         match returned.reason {
@@ -182,6 +193,7 @@
         let welcome = Welcome {
             balancers: self.balancers(),
             revision: self.revision(),
+            known: service.is_some(),
             outs: self.outs.revision,
             out: self.outs.domains.contains(&announcement.domain),
             cold_rate: service.and_then(|service| service.cold_rate),
@@ -237,6 +249,10 @@
 
     /// Lets time pass; to be called several times a second.
     pub fn tick(&mut self, now: Instant) -> Vec<Action> {
+        if now.since(self.ticked) >= PAUSE {
+            self.started = Some(now);
+        }
+        self.ticked = now;
         let forgotten = self.targets.forget(self.settings.forget, now);
         let mut actions: Vec<_> = forgotten
             .into_iter()
@@ -325,7 +341,7 @@
             return Verdict::Reset(Cause::NoRoute);
         };
         let mut choice = self.best(segment, service, &trail, now);
-        if choice.is_none() && !trail.queues && !trail.busy.is_empty() {
+        if choice.is_none() && !trail.queues {
             trail.queues = true;
             trail.busy.clear();
             choice = self.best(segment, service, &trail, now);
@@ -333,12 +349,13 @@
         let Some(choice) = choice else {
             return self.refuse(segment, service, &trail);
         };
-        if choice.doubtful && !trail.busy.is_empty() {
+        if choice.doubtful && !trail.queues {
             // A target that answers is better, even if the flow has to wait there.
-            trail.queues = true;
-            trail.busy.clear();
-            if let Some(choice) = self.best(segment, service, &trail, now) {
-                return self.open(segment, service, choice.tag, trail, now);
+            let mut waits = trail.clone();
+            waits.queues = true;
+            waits.busy.clear();
+            if let Some(choice) = self.best(segment, service, &waits, now) {
+                return self.open(segment, service, choice.tag, waits, now);
             }
         }
         self.open(segment, service, choice.tag, trail, now)
@@ -395,10 +412,13 @@
         if segment.is_repeated_opener() && self.targets.iter().any(unheard) {
             return Verdict::Drop(Cause::Unanswered);
         }
-        Verdict::Reset(if trail.is_empty() {
-            Cause::NoTarget
-        } else {
+        let known = self.targets.iter().any(|target| {
+            target.service == service && target.standing == Standing::Ready
+        });
+        Verdict::Reset(if known {
             Cause::AllRefused
+        } else {
+            Cause::NoTarget
         })
     }
 
@@ -465,9 +485,31 @@
                 .unwrap_or(Verdict::Drop(Cause::NoTarget));
         }
         self.cache.remove(segment.flow);
+        if self.is_certainly_unowned(segment, &trail, now) {
+            return Verdict::Reset(Cause::Unowned);
+        }
         Verdict::Drop(Cause::Unowned)
     }
 
+    /// Whether nobody holds a flow: every target has said so, and none may be unknown here.
+    fn is_certainly_unowned(&self, segment: &Segment, trail: &Trail, now: Instant) -> bool {
+        let holders = self.routes.holders(segment.flow);
+        let asked = |target: &targets::Target| {
+            trail.refused.contains(&target.tag) && !target.is_doubtful(&self.settings, now)
+        };
+        let settled = self
+            .started
+            .is_some_and(|started| now.since(started) >= self.settings.settled);
+        settled
+            && !segment.flags.rst
+            && !holders.is_empty()
+            && self
+                .targets
+                .iter()
+                .filter(|target| holders.contains(&target.service))
+                .all(asked)
+    }
+
     /// The backend server that held the flow has ended.
     fn ended(&mut self, segment: &Segment) -> Verdict {
         self.cache.remove(segment.flow);
--- a/crates/lavenderseam_passthrough/src/balancer/settings.rs
+++ b/crates/lavenderseam_passthrough/src/balancer/settings.rs
@@ -30,6 +30,15 @@
     /// Load in slots' share by which the rendezvous order of two targets decides between them, so
     /// that balancers with the same view don't all pick the same one.
     pub spread: f32,
+    /// How long a target that had no free slot is taken to have none: about the time in which one
+    /// of a few slots becomes free.
+    pub busy: Duration,
+    /// How long a target that refused to queue a flow is taken to refuse others: long enough that
+    /// an overload costs few messages, and short beside a caller's patience.
+    pub full: Duration,
+    /// How long a balancer must have run before it says that nobody holds a flow: the targets that
+    /// it doesn't know yet announce themselves within that time.
+    pub settled: Duration,
     /// How long an opener counts as work at the target it was sent to, unless the agent reports.
     pub estimate: Duration,
 }
@@ -47,6 +56,9 @@
             crossing: 0.35,
             cold: 0.5,
             spread: 0.2,
+            busy: Duration::from_millis(20),
+            full: Duration::from_millis(50),
+            settled: Duration::from_secs(3),
             estimate: Duration::from_millis(60),
         }
     }
--- a/crates/lavenderseam_passthrough/src/balancer/targets.rs
+++ b/crates/lavenderseam_passthrough/src/balancer/targets.rs
@@ -14,7 +14,7 @@
 
 use super::Settings;
 use crate::flow::Flow;
-use crate::message::{Announcement, Load, ServiceTag, Standing, Tag, Trail};
+use crate::message::{Announcement, Load, Reason, ServiceTag, Standing, Tag, Trail};
 
 /// A target as its agent announced it.
 #[derive(Clone, Debug)]
@@ -38,6 +38,10 @@
     unanswered: Option<Instant>,
     /// Set once openers stayed unanswered; unset by any sign of life.
     silent: bool,
+    /// Until when it is taken to have no free slot.
+    busy: Instant,
+    /// Until when it is taken to refuse flows even if they queue.
+    full: Instant,
     /// Work sent there that no report covers yet, as of `sent_at`.
     sent: f32,
     sent_at: Instant,
@@ -139,6 +143,8 @@
                 || target.standing != Standing::Ready
                 || request.trail.visited(target.tag)
                 || is_out(&target.domain)
+                || now < target.full
+                || (!request.trail.queues && now < target.busy)
             {
                 continue;
             }
@@ -210,6 +216,8 @@
             count: announcement.count,
             unanswered: None,
             silent: false,
+            busy: Instant::default(),
+            full: Instant::default(),
             sent: 0.0,
             sent_at: now,
         }
@@ -222,6 +230,17 @@
         self.answered(now);
     }
 
+    /// Notes that it refused an opener.
+    pub(crate) fn refused(&mut self, reason: Reason, queues: bool, settings: &Settings, now: Instant) {
+        match reason {
+            Reason::Busy if !queues => self.busy = now + settings.busy,
+            Reason::Busy | Reason::Cold | Reason::Full | Reason::Shed => {
+                self.full = now + settings.full;
+            }
+            _ => {}
+        }
+    }
+
     /// Notes a sign of life.
     pub(crate) fn answered(&mut self, now: Instant) {
         self.heard = now;
--- a/crates/lavenderseam_passthrough/src/balancer/verdict.rs
+++ b/crates/lavenderseam_passthrough/src/balancer/verdict.rs
@@ -47,9 +47,11 @@
     Unexpected,
 }
 
-impl fmt::Display for Cause {
-    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        formatter.write_str(match self {
+impl Cause {
+    /// Its name in logs and metrics.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
             Self::Unconfigured => "unconfigured",
             Self::NoRoute => "no_route",
             Self::NoTarget => "no_target",
@@ -59,6 +61,12 @@
             Self::Unowned => "unowned",
             Self::HopLimit => "hop_limit",
             Self::Unexpected => "unexpected",
-        })
+        }
+    }
+}
+
+impl fmt::Display for Cause {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(self.name())
     }
 }
--- a/crates/lavenderseam_passthrough/src/message.rs
+++ b/crates/lavenderseam_passthrough/src/message.rs
@@ -148,6 +148,8 @@
     pub balancers: Vec<SocketAddrV4>,
     /// Revision of the desired state behind the fields below.
     pub revision: Revision,
+    /// Whether that desired state names the target's service.
+    pub known: bool,
     /// Revision of the failure domains that are out.
     pub outs: Revision,
     /// Whether the target's failure domain is out.
@@ -259,9 +261,11 @@
     }
 }
 
-impl fmt::Display for Reason {
-    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        formatter.write_str(match self {
+impl Reason {
+    /// Its name in logs and metrics.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
             Self::NotHeld => "not_held",
             Self::Ended => "ended",
             Self::Busy => "busy",
@@ -272,7 +276,13 @@
             Self::OtherService => "other_service",
             Self::Shed => "shed",
             Self::DomainOut => "domain_out",
-        })
+        }
+    }
+}
+
+impl fmt::Display for Reason {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(self.name())
     }
 }
 
