Count only new data as work, and try an opener at three targets a pass

Ruled out: lost answers (the waiting flows had all been answered) and late heartbeats. Change: work begins only with data beyond what the caller sent before; an opener is tried at three targets for a free slot and at three for a place in the queue.

--- a/crates/lavenderseam_passthrough/src/agent/flows.rs
+++ b/crates/lavenderseam_passthrough/src/agent/flows.rs
@@ -30,8 +30,8 @@
     pub(crate) state: State,
     /// Since when a request has been waiting for its answer.
     waiting: Option<Instant>,
-    /// Whether the caller has sent data.
-    requested: bool,
+    /// End of the caller's data so far; none if it has sent none.
+    requested: Option<u32>,
     used: Instant,
     caller_closed: bool,
     backend_closed: bool,
@@ -60,7 +60,7 @@
         let entry = Entry {
             state: State::Opening(None),
             waiting: Some(now),
-            requested: false,
+            requested: None,
             used: now,
             caller_closed: false,
             backend_closed: false,
@@ -73,7 +73,7 @@
         let entry = Entry {
             state: State::Open,
             waiting: None,
-            requested: true,
+            requested: None,
             used: now,
             caller_closed: false,
             backend_closed: false,
@@ -91,8 +91,9 @@
         if !segment.is_opener() && matches!(entry.state, State::Opening(_)) {
             entry.state = State::Open;
         }
-        if segment.length > 0 && entry.state == State::Open {
-            entry.requested = true;
+        // A request that was sent again may cross its answer, and isn't answered twice.
+        if entry.state == State::Open && segment.has_new_data(entry.requested) {
+            entry.requested = Some(segment.end());
             if entry.waiting.is_none() {
                 entry.waiting = Some(now);
                 self.busy += 1;
@@ -157,7 +158,7 @@
                 State::Closed => settings.closed,
             };
             let keep = now.since(entry.used) < limit;
-            let limit = if entry.requested {
+            let limit = if entry.requested.is_some() {
                 settings.waiting
             } else {
                 settings.opening
--- a/crates/lavenderseam_passthrough/src/balancer/mod.rs
+++ b/crates/lavenderseam_passthrough/src/balancer/mod.rs
@@ -153,7 +153,7 @@
         let mut trail = returned.carry.trail;
         match returned.reason {
             Reason::Ended => return self.ended(segment),
-            Reason::Busy if !trail.queues => trail.busy.push(tag),
+            Reason::Busy => trail.busy.push(tag),
             _ => trail.refused.push(tag),
         }
         if trail.len() >= TRAIL_LIMIT {
@@ -340,11 +340,11 @@
         let Some(service) = self.routes.service(segment.flow) else {
             return Verdict::Reset(Cause::NoRoute);
         };
-        let mut choice = self.best(segment, service, &trail, now);
+        let mut choice = self.next(segment, service, &trail, now);
         if choice.is_none() && !trail.queues {
             trail.queues = true;
             trail.busy.clear();
-            choice = self.best(segment, service, &trail, now);
+            choice = self.next(segment, service, &trail, now);
         }
         let Some(choice) = choice else {
             return self.refuse(segment, service, &trail);
@@ -361,6 +361,20 @@
         self.open(segment, service, choice.tag, trail, now)
     }
 
+    /// The best target for an opener that hasn't been tried often enough.
+    fn next(
+        &self,
+        segment: &Segment,
+        service: ServiceTag,
+        trail: &Trail,
+        now: Instant,
+    ) -> Option<targets::Choice> {
+        if trail.busy.len() >= self.settings.tries {
+            return None;
+        }
+        self.best(segment, service, trail, now)
+    }
+
     fn best(
         &self,
         segment: &Segment,
--- a/crates/lavenderseam_passthrough/src/balancer/settings.rs
+++ b/crates/lavenderseam_passthrough/src/balancer/settings.rs
@@ -30,6 +30,10 @@
     /// Load in slots' share by which the rendezvous order of two targets decides between them, so
     /// that balancers with the same view don't all pick the same one.
     pub spread: f32,
+    /// Targets that an opener is tried at for a free slot, and then for a place in a queue. Loads
+    /// are known well enough that more tries seldom find one, and under overload each try costs
+    /// every process a message.
+    pub tries: usize,
     /// How long a target that had no free slot is taken to have none: about the time in which one
     /// of a few slots becomes free.
     pub busy: Duration,
@@ -56,6 +60,7 @@
             crossing: 0.35,
             cold: 0.5,
             spread: 0.2,
+            tries: 3,
             busy: Duration::from_millis(20),
             full: Duration::from_millis(50),
             settled: Duration::from_secs(3),
--- a/crates/lavenderseam_passthrough/src/segment.rs
+++ b/crates/lavenderseam_passthrough/src/segment.rs
@@ -43,6 +43,22 @@
         self.is_opener() && self.acknowledgment != 0
     }
 
+    /// Sequence number behind its data.
+    #[must_use]
+    pub fn end(&self) -> u32 {
+        self.sequence.wrapping_add(u32::from(self.length))
+    }
+
+    /// Whether it holds data that `seen`, the end of what was seen before, doesn't cover.
+    #[must_use]
+    pub fn has_new_data(&self, seen: Option<u32>) -> bool {
+        let beyond = |seen| {
+            let ahead = self.end().wrapping_sub(seen);
+            ahead != 0 && ahead < u32::MAX / 2
+        };
+        self.length > 0 && seen.is_none_or(beyond)
+    }
+
     /// Whether the acknowledgment may answer data sent from `first` on.
     #[must_use]
     pub fn acknowledges(&self, first: u32) -> bool {
