Say not ready when no agent is reached, and learn from agents whether they hear the balancer

And where packets pass in one direction only, announcements kept a target's standing although nothing sent to it arrived. Ruled out: the store (the balancer had its records) and the agents (all served others meanwhile). Change: ready needs a target that was heard within 800 ms and hears this balancer; an announcement says whether the agent has heard the balancer, and a target that doesn't hear it is a last choice.

--- a/crates/lavenderseam_node/src/balancer/work.rs
+++ b/crates/lavenderseam_node/src/balancer/work.rs
@@ -113,7 +113,7 @@
     /// Notes whether it has become ready or no longer is.
     pub(crate) fn observe(&self) {
         let balancer = self.balancer.borrow();
-        let ready = balancer.is_ready() && !self.stopping.get();
+        let ready = balancer.is_ready(self.clock.now()) && !self.stopping.get();
         let flows = i64::try_from(balancer.flows()).unwrap_or(i64::MAX);
         drop(balancer);
         self.metrics.flows.set(flows);
@@ -289,7 +289,8 @@
 impl<C: Codec> Service for Readiness<C> {
     fn answer(&self, _: &Request) -> Answer {
         let work = &self.0;
-        if work.balancer.borrow().is_ready() && !work.stopping.get() {
+        let ready = work.balancer.borrow().is_ready(work.clock.now());
+        if ready && !work.stopping.get() {
             Answer::empty(StatusCode::OK)
         } else {
             Answer::empty(StatusCode::SERVICE_UNAVAILABLE)
--- a/crates/lavenderseam_passthrough/src/agent/balancers.rs
+++ b/crates/lavenderseam_passthrough/src/agent/balancers.rs
@@ -11,6 +11,8 @@
 struct Balancer {
     /// When it was last heard, or learned of.
     heard: Instant,
+    /// Whether it was ever heard.
+    answers: bool,
     announced: Option<Instant>,
 }
 
@@ -23,27 +25,43 @@
     asked: Instant,
 }
 
+impl Balancer {
+    fn hears(&self, settings: &Settings, now: Instant) -> bool {
+        self.answers && now.since(self.heard) < settings.hears
+    }
+}
+
 impl Balancers {
     /// Learns of a balancer.
     pub(crate) fn insert(&mut self, address: SocketAddrV4, now: Instant) {
         self.known.entry(address).or_insert(Balancer {
             heard: now,
+            answers: false,
             announced: None,
         });
     }
 
-    /// Notes a message of a balancer.
-    pub(crate) fn heard(&mut self, address: SocketAddrV4, now: Instant) {
+    /// Notes a message of a balancer; one that hadn't been heard is told so at once.
+    pub(crate) fn heard(&mut self, address: SocketAddrV4, settings: &Settings, now: Instant) {
         self.heard = now;
-        let balancer = self.known.entry(address).or_insert(Balancer {
-            heard: now,
-            announced: None,
-        });
-        balancer.heard = now;
+        self.insert(address, now);
+        if let Some(balancer) = self.known.get_mut(&address) {
+            if !balancer.hears(settings, now) {
+                balancer.announced = None;
+            }
+            balancer.heard = now;
+            balancer.answers = true;
+        }
     }
 
-    /// The balancers that are due for an announcement; all of them if `all`.
-    pub(crate) fn due(&mut self, settings: &Settings, all: bool, now: Instant) -> Vec<SocketAddrV4> {
+    /// The balancers that are due for an announcement, all of them if `all`, and whether each was
+    /// heard lately.
+    pub(crate) fn due(
+        &mut self,
+        settings: &Settings,
+        all: bool,
+        now: Instant,
+    ) -> Vec<(SocketAddrV4, bool)> {
         self.known
             .retain(|_, balancer| now.since(balancer.heard) < settings.forget);
         let mut due = Vec::new();
@@ -53,7 +71,7 @@
             let waited = balancer.announced.is_none_or(|at| now.since(at) >= period);
             if waited || (all && !quiet) {
                 balancer.announced = Some(now);
-                due.push(*address);
+                due.push((*address, balancer.hears(settings, now)));
             }
         }
         due
--- a/crates/lavenderseam_passthrough/src/agent/mod.rs
+++ b/crates/lavenderseam_passthrough/src/agent/mod.rs
@@ -173,7 +173,7 @@
         balancer: SocketAddrV4,
         now: Instant,
     ) -> Verdict {
-        self.balancers.insert(balancer, now);
+        self.balancers.heard(balancer, &self.settings, now);
         match self.decide(segment, &carry, now) {
             Ok(Step::Known) => {
                 self.flows.from_caller(segment, now);
@@ -276,7 +276,7 @@
 
     /// Takes a balancer's answer to an announcement.
     pub fn welcomed(&mut self, welcome: &Welcome, from: SocketAddrV4, now: Instant) {
-        self.balancers.heard(from, now);
+        self.balancers.heard(from, &self.settings, now);
         for balancer in &welcome.balancers {
             self.balancers.insert(*balancer, now);
         }
@@ -328,10 +328,14 @@
             domain: self.place.domain.clone(),
             standing: self.standing(),
             load: self.load(now),
+            hears: false,
         };
-        let announce = |to| Action::Announce {
+        let announce = |(to, hears)| Action::Announce {
             to,
-            announcement: announcement.clone(),
+            announcement: Announcement {
+                hears,
+                ..announcement.clone()
+            },
         };
         due.into_iter().map(announce).collect()
     }
--- a/crates/lavenderseam_passthrough/src/agent/settings.rs
+++ b/crates/lavenderseam_passthrough/src/agent/settings.rs
@@ -13,6 +13,9 @@
     pub quiet: Duration,
     /// How long a balancer may be unheard before it is forgotten.
     pub forget: Duration,
+    /// How long ago a balancer was heard at most for the agent to say that it hears it: three
+    /// answers to announcements.
+    pub hears: Duration,
     /// How long the agent may be without any balancer before it looks them up in the store.
     pub alone: Duration,
     /// How long an opened flow may wait for the caller: callers give an opener up after 1.4 s.
@@ -47,6 +50,7 @@
             retry: Duration::from_secs(3),
             quiet: Duration::from_secs(10),
             forget: Duration::from_secs(120),
+            hears: Duration::from_millis(1_300),
             alone: Duration::from_millis(1_500),
             embryonic: Duration::from_millis(2_000),
             opening: Duration::from_millis(300),
--- a/crates/lavenderseam_passthrough/src/balancer/mod.rs
+++ b/crates/lavenderseam_passthrough/src/balancer/mod.rs
@@ -277,11 +277,11 @@
         actions
     }
 
-    /// Whether it can serve: it knows the desired state and a target that takes flows.
+    /// Whether it can serve: it knows the desired state and reaches a target that takes flows.
     #[must_use]
-    pub fn is_ready(&self) -> bool {
-        let takes = |target: &targets::Target| target.standing == Standing::Ready;
-        self.desired.is_some() && self.targets.iter().any(takes)
+    pub fn is_ready(&self, now: Instant) -> bool {
+        let serves = |target: &targets::Target| target.serves(&self.settings, now);
+        self.desired.is_some() && self.targets.iter().any(serves)
     }
 
     /// The desired state held.
--- a/crates/lavenderseam_passthrough/src/balancer/settings.rs
+++ b/crates/lavenderseam_passthrough/src/balancer/settings.rs
@@ -15,6 +15,9 @@
     pub silence: Duration,
     /// How long an agent may be unheard before its target gets no new flows: three announcements.
     pub stale: Duration,
+    /// How long a balancer may hear no agent at all before it says that it isn't ready, so that
+    /// the fabric sends callers elsewhere: agents announce themselves at different moments.
+    pub isolated: Duration,
     /// How long an agent may be unheard before it is forgotten: the longest life of a flow.
     pub forget: Duration,
     /// Time between gossip with other balancers.
@@ -54,6 +57,7 @@
             capacity: 1 << 19,
             silence: Duration::from_millis(150),
             stale: Duration::from_millis(1_300),
+            isolated: Duration::from_millis(800),
             forget: Duration::from_secs(60),
             gossip: Duration::from_millis(500),
             behind: Duration::from_millis(250),
--- a/crates/lavenderseam_passthrough/src/balancer/targets.rs
+++ b/crates/lavenderseam_passthrough/src/balancer/targets.rs
@@ -34,6 +34,8 @@
     load: Load,
     run: u64,
     count: u64,
+    /// Whether its agent hears this balancer.
+    hears: bool,
     /// The first opener that is still unanswered.
     unanswered: Option<Instant>,
     /// Set once openers stayed unanswered; unset by any sign of life.
@@ -87,6 +89,7 @@
             || held.domain != announcement.domain;
         held.run = announcement.run;
         held.count = announcement.count;
+        held.hears = announcement.hears;
         held.service = service;
         held.standing = announcement.standing;
         held.domain.clone_from(&announcement.domain);
@@ -214,6 +217,7 @@
             load: announcement.load,
             run: announcement.run,
             count: announcement.count,
+            hears: announcement.hears,
             unanswered: None,
             silent: false,
             busy: Instant::default(),
@@ -267,7 +271,14 @@
 
     /// Whether it may not answer.
     pub(crate) fn is_doubtful(&self, settings: &Settings, now: Instant) -> bool {
-        self.silent || now.since(self.heard) >= settings.stale
+        self.silent || !self.hears || now.since(self.heard) >= settings.stale
+    }
+
+    /// Whether flows can be served there now.
+    pub(crate) fn serves(&self, settings: &Settings, now: Instant) -> bool {
+        self.standing == Standing::Ready
+            && self.hears
+            && now.since(self.heard) < settings.isolated
     }
 
     fn pending(&self, settings: &Settings, now: Instant) -> f32 {
--- a/crates/lavenderseam_passthrough/src/message.rs
+++ b/crates/lavenderseam_passthrough/src/message.rs
@@ -141,6 +141,9 @@
     pub standing: Standing,
     /// Its load.
     pub load: Load,
+    /// Whether the agent has lately heard the balancer that this goes to: packets may pass in one
+    /// direction only.
+    pub hears: bool,
 }
 
 /// A balancer's answer to an announcement.
--- a/crates/lavenderseam_passthrough/tests/flows.rs
+++ b/crates/lavenderseam_passthrough/tests/flows.rs
@@ -245,3 +245,41 @@
     expect_that!(after, eq(taken));
     expect_that!(world.served(from), eq(1.0));
 }
+
+#[gtest]
+fn a_balancer_that_reaches_no_agent_is_not_ready() {
+    let mut world = domains();
+    let balancer = world.entries[0].address;
+    let ready = |world: &World| {
+        let now = world.instant();
+        world.entries[0].balancer.as_ref().unwrap().is_ready(now)
+    };
+    expect_that!(ready(&world), eq(true));
+    for node in 0..world.nodes.len() {
+        let address = world.nodes[node].address;
+        world.cuts.insert((balancer, address));
+    }
+    world.run_for(milliseconds(1_000));
+    expect_that!(ready(&world), eq(false));
+    world.cuts.clear();
+    world.run_for(milliseconds(600));
+    expect_that!(ready(&world), eq(true));
+}
+
+#[gtest]
+fn openers_go_where_packets_arrive_though_all_are_heard() {
+    let mut world = domains();
+    let balancer = world.entries[0].address;
+    // Nothing gets out of the balancer's failure domain.
+    for node in 2..6 {
+        let address = world.nodes[node].address;
+        world.one_way.insert((balancer, address));
+    }
+    world.run_for(seconds(2));
+    world.load(0, 100, seconds(2), WORK);
+    let from = world.instant();
+    world.run_for(seconds(4));
+    expect_that!(world.served(from), eq(1.0));
+    let slowest = (0..world.callers.len()).map(|caller| world.latency(caller).unwrap()).max();
+    expect_that!(slowest.unwrap(), le(milliseconds(150)));
+}
--- a/crates/lavenderseam_passthrough/tests/world/mod.rs
+++ b/crates/lavenderseam_passthrough/tests/world/mod.rs
@@ -90,6 +90,8 @@
     pub outs: Outs,
     /// Pairs of addresses that can't reach each other.
     pub cuts: BTreeSet<(SocketAddrV4, SocketAddrV4)>,
+    /// Pairs of addresses where nothing gets from the first to the second.
+    pub one_way: BTreeSet<(SocketAddrV4, SocketAddrV4)>,
     /// Packets that agents returned.
     pub returned: u64,
     /// Resets of flows that a living backend server held open.
@@ -114,6 +116,7 @@
             desired: desired(None),
             outs: Outs::default(),
             cuts: BTreeSet::new(),
+            one_way: BTreeSet::new(),
             returned: 0,
             wrong_resets: Vec::new(),
             resets: 0,
@@ -480,7 +483,8 @@
         message: Message,
         packet: Option<Segment>,
     ) {
-        if self.cuts.contains(&(from, to)) || self.cuts.contains(&(to, from)) {
+        let cut = self.cuts.contains(&(from, to)) || self.cuts.contains(&(to, from));
+        if cut || self.one_way.contains(&(from, to)) {
             return;
         }
         let delay = if self.domain(from) == self.domain(to) {
