Compare targets between balancers, so that a restarted one knows when nobody holds a flow

Cause: a balancer that restarts while it can't reach a part of the targets never hears of them, so the denials of the others would reset flows that live there; the guard of 3 s since the start only made that rarer, and made callers wait after a power loss. Found by a_balancer_that_has_just_started_resets_no_flow with 1.3 s in place of 0.5 s. The same test showed that a balancer learned of itself by gossip and agreed with itself. Ruled out: a registration of each target in the store (a write and a wake-up of every watcher a target). Change: gossip carries a digest of the targets known; a balancer that differs fetches them from its peer, and resets unowned flows, or refuses openers, only after a peer has agreed since its start (1.2 s at least; 3 s without peers). Until then openers are dropped, and the caller's copies find a target. Agents say whether their backend server has ended or was only not heard yet.

--- a/crates/lavenderseam_node/src/balancer/records.rs
+++ b/crates/lavenderseam_node/src/balancer/records.rs
@@ -6,6 +6,7 @@
 
 use ::http::StatusCode;
 use lavenderseam_passthrough::desired::{Desired, Outs, Roster};
+use lavenderseam_passthrough::message::Known;
 use serde::{Deserialize, Serialize};
 
 use super::Handle;
@@ -26,6 +27,9 @@
     pub desired: Option<Desired>,
     /// The failure domains that are out.
     pub outs: Outs,
+    /// The targets that it knows.
+    #[serde(default)]
+    pub targets: Vec<Known>,
 }
 
 /// Where a record came from.
@@ -49,6 +53,7 @@
         let records = Records {
             desired: balancer.desired().cloned(),
             outs: balancer.outs().clone(),
+            targets: balancer.known(self.0.clock.now()),
         };
         match serde_json::to_vec(&records) {
             Ok(body) => Answer::json(StatusCode::OK, body),
@@ -67,6 +72,8 @@
                     work.desire(desired, Source::Peer);
                 }
                 work.take_outs(records.outs, Source::Peer);
+                let now = work.clock.now();
+                work.balancer.borrow_mut().merge(&records.targets, now);
                 return;
             }
             Err(error) => error.to_string(),
--- a/crates/lavenderseam_passthrough/src/agent/backend.rs
+++ b/crates/lavenderseam_passthrough/src/agent/backend.rs
@@ -143,10 +143,11 @@
 
     /// Its state as balancers are told.
     pub(crate) fn standing(&self) -> Standing {
-        match self.present() {
-            None => Standing::Absent,
-            Some(held) if held.draining => Standing::Draining,
-            Some(_) => Standing::Ready,
+        match self {
+            Self::Unknown => Standing::Unknown,
+            Self::Ended(_) => Standing::Ended,
+            Self::Present(held) if held.draining => Standing::Draining,
+            Self::Present(_) => Standing::Ready,
         }
     }
 }
--- a/crates/lavenderseam_passthrough/src/balancer/mod.rs
+++ b/crates/lavenderseam_passthrough/src/balancer/mod.rs
@@ -24,7 +24,7 @@
 
 use crate::desired::{Desired, Outs, Roster};
 use crate::message::{
-    Announcement, Carry, Gossip, Held, Reason, Returned, ServiceTag, Standing, TRAIL_LIMIT, Tag,
+    Announcement, Carry, Gossip, Held, Known, Reason, Returned, ServiceTag, Standing, TRAIL_LIMIT, Tag,
     Trail, Welcome,
 };
 use crate::segment::Segment;
@@ -207,9 +207,9 @@
 
     /// Takes another balancer's gossip.
     pub fn gossiped(&mut self, gossip: &Gossip, from: SocketAddrV4, now: Instant) {
-        self.peers.heard(from, gossip, now);
-        let (desired, outs) = (self.revision(), self.outs.revision);
-        self.peers.compare(gossip, desired, outs, now);
+        self.peers.heard(from, gossip, self.place.address, now);
+        let own = self.gossip();
+        self.peers.compare(gossip, &own, now);
     }
 
     /// Notes a balancer to begin with.
@@ -226,7 +226,6 @@
         }
         self.routes = Routes::new(&desired);
         self.desired = Some(desired);
-        self.peers.caught_up();
         true
     }
 
@@ -236,10 +235,20 @@
             return false;
         }
         self.outs = outs;
-        self.peers.caught_up();
         true
     }
 
+    /// The targets known, for other balancers.
+    #[must_use]
+    pub fn known(&self, now: Instant) -> Vec<Known> {
+        self.targets.known(now)
+    }
+
+    /// Takes the targets that another balancer knows.
+    pub fn merge(&mut self, known: &[Known], now: Instant) {
+        self.targets.merge(known, now);
+    }
+
     /// Takes the balancers that have registered with the store.
     pub fn enroll(&mut self, roster: &Roster, now: Instant) {
         let mut balancers = roster.balancers.clone();
@@ -260,12 +269,7 @@
             .collect();
         if now.since(self.gossiped) >= self.settings.gossip {
             self.gossiped = now;
-            let gossip = Gossip {
-                desired: self.revision(),
-                outs: self.outs.revision,
-                rpc: Some(self.place.rpc),
-                balancers: self.balancers(),
-            };
+            let gossip = self.gossip();
             for to in self.peers.round(now) {
                 let gossip = gossip.clone();
                 actions.push(Action::Gossip { to, gossip });
@@ -308,6 +312,16 @@
             .map_or(Revision::default(), |desired| desired.revision)
     }
 
+    fn gossip(&self) -> Gossip {
+        Gossip {
+            desired: self.revision(),
+            outs: self.outs.revision,
+            targets: self.targets.digest(),
+            rpc: Some(self.place.rpc),
+            balancers: self.balancers(),
+        }
+    }
+
     fn balancers(&self) -> Vec<SocketAddrV4> {
         let own = std::iter::once(self.place.address);
         own.chain(self.peers.all()).collect()
@@ -347,7 +361,7 @@
             choice = self.next(segment, service, &trail, now);
         }
         let Some(choice) = choice else {
-            return self.refuse(segment, service, &trail);
+            return self.refuse(segment, service, &trail, now);
         };
         if choice.doubtful && !trail.queues {
             // A target that answers is better, even if the flow has to wait there.
@@ -414,26 +428,39 @@
             .unwrap_or(Verdict::Drop(Cause::NoTarget))
     }
 
-    /// Tells the caller that no target takes its flow, if that is certain: a target that doesn't
-    /// answer may hold it since an earlier copy.
-    fn refuse(&mut self, segment: &Segment, service: ServiceTag, trail: &Trail) -> Verdict {
+    /// Tells the caller that no target takes its flow, if that is certain.
+    ///
+    /// A target that doesn't answer may hold the flow since an earlier copy. While targets may
+    /// still announce themselves, the caller's next copy may find one.
+    fn refuse(
+        &mut self,
+        segment: &Segment,
+        service: ServiceTag,
+        trail: &Trail,
+        now: Instant,
+    ) -> Verdict {
         self.cache.remove(segment.flow);
+        let of_service = |target: &&targets::Target| target.service == service;
+        let mut targets = self.targets.iter().filter(of_service);
+        let ready = targets
+            .clone()
+            .any(|target| target.standing == Standing::Ready);
+        let unknown = targets
+            .clone()
+            .any(|target| target.standing == Standing::Unknown);
+        if !self.has_settled(now) || (!ready && unknown) {
+            return Verdict::Drop(Cause::NotHeard);
+        }
+        if !ready {
+            return Verdict::Reset(Cause::NoTarget);
+        }
         let unheard = |target: &targets::Target| {
-            target.service == service
-                && target.standing != Standing::Absent
-                && !trail.visited(target.tag)
+            target.standing != Standing::Ended && !trail.visited(target.tag)
         };
-        if segment.is_repeated_opener() && self.targets.iter().any(unheard) {
+        if segment.is_repeated_opener() && targets.any(unheard) {
             return Verdict::Drop(Cause::Unanswered);
         }
-        let known = self.targets.iter().any(|target| {
-            target.service == service && target.standing == Standing::Ready
-        });
-        Verdict::Reset(if known {
-            Cause::AllRefused
-        } else {
-            Cause::NoTarget
-        })
+        Verdict::Reset(Cause::AllRefused)
     }
 
     fn continuing(&mut self, segment: &Segment, now: Instant) -> Verdict {
@@ -508,20 +535,30 @@
     /// Whether nobody holds a flow: every target has said so, and none may be unknown here.
     fn is_certainly_unowned(&self, segment: &Segment, trail: &Trail, now: Instant) -> bool {
         let holders = self.routes.holders(segment.flow);
-        let asked = |target: &targets::Target| {
-            trail.refused.contains(&target.tag) && !target.is_doubtful(&self.settings, now)
+        let denies = |target: &targets::Target| {
+            let doubtful = target.is_doubtful(&self.settings, now);
+            let denied = trail.refused.contains(&target.tag) && !doubtful;
+            denied || (doubtful && target.standing == Standing::Ended)
         };
-        let settled = self
-            .started
-            .is_some_and(|started| now.since(started) >= self.settings.settled);
-        settled
+        let mut targets = self
+            .targets
+            .iter()
+            .filter(|target| holders.contains(&target.service));
+        self.has_settled(now)
             && !segment.flags.rst
             && !holders.is_empty()
-            && self
-                .targets
-                .iter()
-                .filter(|target| holders.contains(&target.service))
-                .all(asked)
+            && targets.all(denies)
+    }
+
+    /// Whether every target is known: the process has run for a while, and another balancer has
+    /// said since that it knows the same ones.
+    fn has_settled(&self, now: Instant) -> bool {
+        let Some(started) = self.started else {
+            return false;
+        };
+        let agreed = self.peers.agreed().is_some_and(|agreed| agreed >= started);
+        let ran = now.since(started);
+        (agreed && ran >= self.settings.settled) || (self.peers.is_empty() && ran >= self.settings.alone)
     }
 
     /// The backend server that held the flow has ended.
--- a/crates/lavenderseam_passthrough/src/balancer/peers.rs
+++ b/crates/lavenderseam_passthrough/src/balancer/peers.rs
@@ -1,10 +1,9 @@
-//! The other balancers, and whether their records are newer.
+//! The other balancers, and whether they hold other records.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
-use lavenderseam_core::catalog::Revision;
 use lavenderseam_core::time::Instant;
 
 use crate::message::Gossip;
@@ -23,9 +22,10 @@
     registered: BTreeSet<SocketAddrV4>,
     turn: usize,
     behind: Option<Behind>,
+    agreed: Option<Instant>,
 }
 
-/// Another balancer holds newer records.
+/// Another balancer holds other records.
 #[derive(Clone, Copy, Debug)]
 struct Behind {
     since: Instant,
@@ -46,34 +46,33 @@
         self.known.entry(peer).or_insert(now);
     }
 
-    /// Takes gossip.
-    pub(crate) fn heard(&mut self, from: SocketAddrV4, gossip: &Gossip, now: Instant) {
+    /// Takes gossip; `own` is the address of this balancer.
+    pub(crate) fn heard(
+        &mut self,
+        from: SocketAddrV4,
+        gossip: &Gossip,
+        own: SocketAddrV4,
+        now: Instant,
+    ) {
         self.known.insert(from, now);
-        for peer in &gossip.balancers {
+        for peer in gossip.balancers.iter().filter(|peer| **peer != own) {
             self.known.entry(*peer).or_insert(now);
         }
     }
 
-    /// Notes whether a peer holds newer records.
-    pub(crate) fn compare(
-        &mut self,
-        gossip: &Gossip,
-        desired: Revision,
-        outs: Revision,
-        now: Instant,
-    ) {
-        let newer = gossip.desired > desired || gossip.outs > outs;
-        if let (true, Some(rpc)) = (newer, gossip.rpc) {
+    /// Notes whether a peer holds records that are lacking here.
+    pub(crate) fn compare(&mut self, gossip: &Gossip, own: &Gossip, now: Instant) {
+        let newer = gossip.desired > own.desired || gossip.outs > own.outs;
+        let differs = newer || gossip.targets != own.targets;
+        if !differs {
+            self.agreed = Some(now);
+            self.behind.take_if(|behind| Some(behind.rpc) == gossip.rpc);
+        } else if let Some(rpc) = gossip.rpc {
             let since = self.behind.map_or(now, |behind| behind.since);
             self.behind = Some(Behind { since, rpc });
         }
     }
 
-    /// Notes that newer records have come.
-    pub(crate) fn caught_up(&mut self) {
-        self.behind = None;
-    }
-
     /// Whom to ask for records that were lacking for a span.
     pub(crate) fn ask(&mut self, span: Duration, now: Instant) -> Option<SocketAddrV4> {
         let behind = self.behind.filter(|behind| now.since(behind.since) >= span)?;
@@ -81,6 +80,16 @@
         Some(behind.rpc)
     }
 
+    /// When a peer last held the same records.
+    pub(crate) const fn agreed(&self) -> Option<Instant> {
+        self.agreed
+    }
+
+    /// Whether no other balancer is known.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.known.is_empty()
+    }
+
     /// The peers for the next round of gossip.
     pub(crate) fn round(&mut self, now: Instant) -> Vec<SocketAddrV4> {
         let registered = &self.registered;
--- a/crates/lavenderseam_passthrough/src/balancer/settings.rs
+++ b/crates/lavenderseam_passthrough/src/balancer/settings.rs
@@ -23,7 +23,7 @@
     /// Time between gossip with other balancers.
     pub gossip: Duration,
     /// How long this balancer may lack a record that another one holds before it asks for it: the
-    /// store's watch usually brings it earlier.
+    /// store's watch or an agent's announcement usually brings it earlier.
     pub behind: Duration,
     /// Load in slots' share that a target in another failure domain must be better by: crossing
     /// costs latency and traffic.
@@ -43,9 +43,11 @@
     /// How long a target that refused to queue a flow is taken to refuse others: long enough that
     /// an overload costs few messages, and short beside a caller's patience.
     pub full: Duration,
-    /// How long a balancer must have run before it says that nobody holds a flow: the targets that
-    /// it doesn't know yet announce themselves within that time.
+    /// How long a balancer must have run before it says that nobody holds a flow: agents that it
+    /// doesn't know yet announce themselves within that time.
     pub settled: Duration,
+    /// The same for a balancer that knows no other one to compare its targets with.
+    pub alone: Duration,
     /// How long an opener counts as work at the target it was sent to, unless the agent reports.
     pub estimate: Duration,
 }
@@ -60,14 +62,15 @@
             isolated: Duration::from_millis(800),
             forget: Duration::from_secs(60),
             gossip: Duration::from_millis(500),
-            behind: Duration::from_millis(250),
+            behind: Duration::from_millis(400),
             crossing: 0.35,
             cold: 0.5,
             spread: 0.2,
             tries: 3,
             busy: Duration::from_millis(20),
             full: Duration::from_millis(50),
-            settled: Duration::from_secs(3),
+            settled: Duration::from_millis(1_200),
+            alone: Duration::from_secs(3),
             estimate: Duration::from_millis(60),
         }
     }
--- a/crates/lavenderseam_passthrough/src/balancer/targets.rs
+++ b/crates/lavenderseam_passthrough/src/balancer/targets.rs
@@ -14,7 +14,7 @@
 
 use super::Settings;
 use crate::flow::Flow;
-use crate::message::{Announcement, Load, Reason, ServiceTag, Standing, Tag, Trail};
+use crate::message::{Announcement, Known, Load, Reason, ServiceTag, Standing, Tag, Trail};
 
 /// A target as its agent announced it.
 #[derive(Clone, Debug)]
@@ -25,6 +25,8 @@
     pub(crate) tag: Tag,
     /// Short name of its service.
     pub(crate) service: ServiceTag,
+    /// Name of its service.
+    name: String,
     /// Failure domain that it lives in.
     pub(crate) domain: String,
     /// Its state.
@@ -91,6 +93,7 @@
         held.count = announcement.count;
         held.hears = announcement.hears;
         held.service = service;
+        held.name.clone_from(&announcement.service);
         held.standing = announcement.standing;
         held.domain.clone_from(&announcement.domain);
         held.reported(announcement.load, now);
@@ -101,6 +104,43 @@
         }
     }
 
+    /// The targets, as other balancers are told.
+    pub(crate) fn known(&self, now: Instant) -> Vec<Known> {
+        let known = |target: &Target| Known {
+            agent: target.agent,
+            age_ms: now.since(target.heard).as_millis() as u64,
+            announcement: target.announcement(),
+        };
+        self.iter().map(known).collect()
+    }
+
+    /// Takes what another balancer knows; only what it heard later than this one did counts.
+    pub(crate) fn merge(&mut self, known: &[Known], now: Instant) {
+        for other in known {
+            let heard = now - Duration::from_millis(other.age_ms);
+            let tag = Tag::new(other.agent);
+            let held = self.by_tag.get(&tag);
+            if held.is_some_and(|held| held.heard >= heard) {
+                continue;
+            }
+            // Nothing says that this balancer reaches the agent until it is heard here.
+            let mut target = Target::new(other.agent, &other.announcement, heard);
+            target.hears = held.is_some_and(|held| held.hears);
+            target.silent = held.is_some_and(|held| held.silent);
+            target.count = held.map_or(0, |held| held.count);
+            self.by_tag.insert(tag, target);
+        }
+    }
+
+    /// Digest of the targets that haven't ended.
+    pub(crate) fn digest(&self) -> u64 {
+        self.iter()
+            .filter(|target| target.standing != Standing::Ended)
+            .fold(0, |digest, target| {
+                digest ^ score(u64::from(target.tag.0), target.service.0)
+            })
+    }
+
     /// The target with a tag.
     pub(crate) fn get(&self, tag: Tag) -> Option<&Target> {
         self.by_tag.get(&tag)
@@ -112,7 +152,7 @@
     }
 
     /// All targets.
-    pub(crate) fn iter(&self) -> impl Iterator<Item = &Target> {
+    pub(crate) fn iter(&self) -> impl Iterator<Item = &Target> + Clone {
         self.by_tag.values()
     }
 
@@ -211,6 +251,7 @@
             agent,
             tag: Tag::new(agent),
             service: ServiceTag::new(&announcement.service),
+            name: announcement.service.clone(),
             domain: announcement.domain.clone(),
             standing: announcement.standing,
             heard: now,
@@ -227,6 +268,18 @@
         }
     }
 
+    fn announcement(&self) -> Announcement {
+        Announcement {
+            run: self.run,
+            count: self.count,
+            service: self.name.clone(),
+            domain: self.domain.clone(),
+            standing: self.standing,
+            load: self.load,
+            hears: false,
+        }
+    }
+
     /// Takes a report of its load, which is also a sign of life.
     pub(crate) fn reported(&mut self, load: Load, now: Instant) {
         self.load = load;
--- a/crates/lavenderseam_passthrough/src/balancer/verdict.rs
+++ b/crates/lavenderseam_passthrough/src/balancer/verdict.rs
@@ -33,6 +33,8 @@
     NoRoute,
     /// No target of the service is known.
     NoTarget,
+    /// No target of the service has announced itself yet.
+    NotHeard,
     /// Every target refused the flow.
     AllRefused,
     /// Some targets refused the flow and others don't answer.
@@ -55,6 +57,7 @@
             Self::Unconfigured => "unconfigured",
             Self::NoRoute => "no_route",
             Self::NoTarget => "no_target",
+            Self::NotHeard => "not_heard",
             Self::AllRefused => "all_refused",
             Self::Unanswered => "unanswered",
             Self::Ended => "ended",
--- a/crates/lavenderseam_passthrough/src/message.rs
+++ b/crates/lavenderseam_passthrough/src/message.rs
@@ -121,9 +121,22 @@
     Ready,
     /// It keeps its flows and takes no more.
     Draining,
-    /// No backend server is there.
+    /// Its backend server has ended, and its flows with it.
+    Ended,
+    /// The agent hasn't heard its backend server yet, which may hold flows.
     #[default]
-    Absent,
+    Unknown,
+}
+
+/// A target as a balancer knows it, told to other balancers.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Known {
+    /// Address of its agent.
+    pub agent: SocketAddrV4,
+    /// Time since a balancer heard it, in milliseconds.
+    pub age_ms: u64,
+    /// The last announcement that was heard.
+    pub announcement: Announcement,
 }
 
 /// What an agent tells balancers of its target.
@@ -172,6 +185,8 @@
     pub desired: Revision,
     /// Revision of the failure domains that are out.
     pub outs: Revision,
+    /// Digest of the targets known that haven't ended.
+    pub targets: u64,
     /// Address for remote calls.
     pub rpc: Option<SocketAddrV4>,
     /// The balancers known.
--- a/crates/lavenderseam_passthrough/tests/flows.rs
+++ b/crates/lavenderseam_passthrough/tests/flows.rs
@@ -164,9 +164,9 @@
     // It never hears of the holder before it gets the flow.
     world.cuts.insert((cut, node));
     world.start_balancer(1);
-    world.run_for(milliseconds(500));
+    world.run_for(milliseconds(1_300));
     world.callers[caller].balancer = 1;
-    world.run_for(seconds(2));
+    world.run_for(seconds(1));
     expect_that!(world.wrong_resets, is_empty());
 }
 
--- a/crates/lavenderseam_passthrough/tests/world/mod.rs
+++ b/crates/lavenderseam_passthrough/tests/world/mod.rs
@@ -165,6 +165,7 @@
     }
 
     pub fn start_balancer(&mut self, index: usize) {
+        let peers: Vec<_> = self.entries.iter().map(|entry| entry.address).collect();
         let entry = &self.entries[index];
         let mut balancer = Balancer::new(balancer::Place {
             domain: entry.domain.clone(),
@@ -173,6 +174,10 @@
         });
         balancer.desire(self.desired.clone());
         balancer.take_outs(self.outs.clone());
+        let now = Instant(self.now);
+        for peer in peers {
+            balancer.seed(peer, now);
+        }
         self.entries[index].balancer = Some(balancer);
     }
 
@@ -317,8 +322,12 @@
                 continue;
             };
             for action in balancer.tick(now) {
-                if let balancer::Action::Gossip { to, gossip } = action {
-                    self.send(from, to, Message::Gossip(gossip), None);
+                match action {
+                    balancer::Action::Gossip { to, gossip } => {
+                        self.send(from, to, Message::Gossip(gossip), None);
+                    }
+                    balancer::Action::Fetch { rpc } => self.fetch(index, rpc),
+                    balancer::Action::Forgot { .. } => {}
                 }
             }
         }
@@ -333,6 +342,26 @@
         self.at(TICK, Event::Tick);
     }
 
+    /// A balancer gets another one's targets.
+    fn fetch(&mut self, index: usize, rpc: SocketAddrV4) {
+        let now = self.instant();
+        let own = self.entries[index].address;
+        if self.is_cut(own, rpc) {
+            return;
+        }
+        let other = self.entries.iter().find(|entry| entry.address == rpc);
+        let known = other.and_then(|entry| entry.balancer.as_ref()).map(|other| other.known(now));
+        let balancer = self.entries[index].balancer.as_mut();
+        if let (Some(known), Some(balancer)) = (known, balancer) {
+            balancer.merge(&known, now);
+        }
+    }
+
+    fn is_cut(&self, from: SocketAddrV4, to: SocketAddrV4) -> bool {
+        let cut = self.cuts.contains(&(from, to)) || self.cuts.contains(&(to, from));
+        cut || self.one_way.contains(&(from, to))
+    }
+
     fn announce(&mut self, from: SocketAddrV4, actions: Vec<agent::Action>) {
         for action in actions {
             if let agent::Action::Announce { to, announcement } = action {
@@ -483,8 +512,7 @@
         message: Message,
         packet: Option<Segment>,
     ) {
-        let cut = self.cuts.contains(&(from, to)) || self.cuts.contains(&(to, from));
-        if cut || self.one_way.contains(&(from, to)) {
+        if self.is_cut(from, to) {
             return;
         }
         let delay = if self.domain(from) == self.domain(to) {
