--- a/crates/lavenderseam_node/src/agent/work.rs
+++ b/crates/lavenderseam_node/src/agent/work.rs
@@ -66,7 +66,10 @@
                     self.agent.borrow_mut().welcomed(&welcome, from, now);
                 }
                 Ok((_, _, from)) => {
-                    self.unreadable("process", &format!("{from} takes this agent for a balancer"));
+                    self.unreadable(
+                        "process",
+                        &format!("{from} takes this agent for a balancer"),
+                    );
                 }
                 Err(error) => self.message_failed(&error),
             })
--- a/crates/lavenderseam_node/src/http/server.rs
+++ b/crates/lavenderseam_node/src/http/server.rs
@@ -63,7 +63,10 @@
     drop(served);
 }
 
-async fn respond(request: http::Request<Incoming>, service: &impl Service) -> Response<Full<Bytes>> {
+async fn respond(
+    request: http::Request<Incoming>,
+    service: &impl Service,
+) -> Response<Full<Bytes>> {
     let (head, body) = request.into_parts();
     let path = head
         .uri
--- a/crates/lavenderseam_node/src/log/mod.rs
+++ b/crates/lavenderseam_node/src/log/mod.rs
@@ -107,7 +107,9 @@
     fn line(&self, inner: &mut Inner, event: &Event) {
         let time = SystemTime::now().duration_since(UNIX_EPOCH);
         let line = Line {
-            time: time.map_or(0, |time| u64::try_from(time.as_millis()).unwrap_or(u64::MAX)),
+            time: time.map_or(0, |time| {
+                u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+            }),
             process: &self.process,
             event,
         };
--- a/crates/lavenderseam_node/src/metrics.rs
+++ b/crates/lavenderseam_node/src/metrics.rs
@@ -14,9 +14,7 @@
 use crate::http::{Answer, Request, Service};
 
 /// Bounds of the latency histograms, in seconds: from a hop to a caller's longest time limit.
-const LATENCIES: [f64; 10] = [
-    0.0005, 0.001, 0.002, 0.005, 0.02, 0.05, 0.1, 0.25, 1.0, 5.0,
-];
+const LATENCIES: [f64; 10] = [0.0005, 0.001, 0.002, 0.005, 0.02, 0.05, 0.1, 0.25, 1.0, 5.0];
 
 /// A label with a cause.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -85,15 +83,27 @@
         registry.register("drops", "Packets dropped", self.drops.clone());
         registry.register("returned", "Packets returned", self.returned.clone());
         registry.register("malformed", "Unreadable input", self.malformed.clone());
-        registry.register("socket_errors", "Socket failures", self.socket_errors.clone());
-        registry.register("store_calls", "Calls to the store", self.store_calls.clone());
+        registry.register(
+            "socket_errors",
+            "Socket failures",
+            self.socket_errors.clone(),
+        );
+        registry.register(
+            "store_calls",
+            "Calls to the store",
+            self.store_calls.clone(),
+        );
         registry.register("store_errors", "Failed calls", self.store_errors.clone());
         registry.register("flows", "Flows known", self.flows.clone());
         registry.register("busy", "Flows that wait for an answer", self.busy.clone());
         let store = self.store_seconds.0.clone();
         registry.register("store_seconds", "Time of a call to the store", store);
         let answer = self.answer_seconds.0.clone();
-        registry.register("answer_seconds", "Time of a backend server's answer", answer);
+        registry.register(
+            "answer_seconds",
+            "Time of a backend server's answer",
+            answer,
+        );
         let mut page = String::new();
         match encode(&mut page, &registry) {
             Ok(()) => page,
--- a/crates/lavenderseam_node/src/socket.rs
+++ b/crates/lavenderseam_node/src/socket.rs
@@ -41,7 +41,10 @@
     }
 
     /// Reads datagrams as they come and hands each to `take`, with its sender.
-    pub(crate) async fn receive(&self, mut take: impl FnMut(io::Result<(&mut [u8], SocketAddrV4)>)) {
+    pub(crate) async fn receive(
+        &self,
+        mut take: impl FnMut(io::Result<(&mut [u8], SocketAddrV4)>),
+    ) {
         let mut buffer = [0; DATAGRAM];
         loop {
             if let Err(error) = self.inner.readable().await {
--- a/crates/lavenderseam_passthrough/src/agent/balancers.rs
+++ b/crates/lavenderseam_passthrough/src/agent/balancers.rs
@@ -67,7 +67,11 @@
         let mut due = Vec::new();
         for (address, balancer) in &mut self.known {
             let quiet = now.since(balancer.heard) >= settings.quiet;
-            let period = if quiet { settings.retry } else { settings.announce };
+            let period = if quiet {
+                settings.retry
+            } else {
+                settings.announce
+            };
             let waited = balancer.announced.is_none_or(|at| now.since(at) >= period);
             if waited || (all && !quiet) {
                 balancer.announced = Some(now);
--- a/crates/lavenderseam_passthrough/src/agent/flows.rs
+++ b/crates/lavenderseam_passthrough/src/agent/flows.rs
@@ -82,7 +82,7 @@
     }
 
     /// Notes a packet of the caller.
-    pub(crate) fn from_caller(&mut self, segment: &Segment, now: Instant) {
+    pub(crate) fn take_request(&mut self, segment: &Segment, now: Instant) {
         self.count(now);
         let Some(entry) = self.table.get_mut(&segment.flow) else {
             return;
@@ -107,7 +107,7 @@
     }
 
     /// Notes a packet of the backend server.
-    pub(crate) fn from_backend(&mut self, segment: &Segment, now: Instant) {
+    pub(crate) fn take_answer(&mut self, segment: &Segment, now: Instant) {
         self.count(now);
         let Some(entry) = self.table.get_mut(&segment.flow) else {
             return;
--- a/crates/lavenderseam_passthrough/src/agent/mod.rs
+++ b/crates/lavenderseam_passthrough/src/agent/mod.rs
@@ -176,7 +176,7 @@
         self.balancers.heard(balancer, &self.settings, now);
         match self.decide(segment, &carry, now) {
             Ok(Step::Known) => {
-                self.flows.from_caller(segment, now);
+                self.flows.take_request(segment, now);
                 self.handed_over(now);
                 let known = carry.asks && !segment.is_opener();
                 let held = known.then(|| Held {
@@ -208,7 +208,7 @@
             if self.flows.get(segment.flow).is_none() {
                 self.flows.find(segment.flow, now);
             }
-            self.flows.from_backend(segment, now);
+            self.flows.take_answer(segment, now);
             return Outbound::Caller;
         };
         let opens = segment.is_opener();
@@ -362,12 +362,7 @@
         }
     }
 
-    fn decide(
-        &mut self,
-        segment: &Segment,
-        carry: &Carry,
-        now: Instant,
-    ) -> Result<Step, Reason> {
+    fn decide(&mut self, segment: &Segment, carry: &Carry, now: Instant) -> Result<Step, Reason> {
         if segment.flags.syn && segment.flags.ack {
             // Only backend servers send these.
             return Ok(Step::Dropped);
@@ -455,8 +450,14 @@
     }
 
     fn must_probe(&mut self, now: Instant) -> bool {
-        let silent = self.silence.since.is_some_and(|at| now.since(at) >= SILENCE);
-        let paused = self.silence.probed.is_none_or(|at| now.since(at) >= PROBE_PAUSE);
+        let silent = self
+            .silence
+            .since
+            .is_some_and(|at| now.since(at) >= SILENCE);
+        let paused = self
+            .silence
+            .probed
+            .is_none_or(|at| now.since(at) >= PROBE_PAUSE);
         let probe = silent && paused && self.backend.present().is_some();
         if probe {
             self.silence.probed = Some(now);
--- a/crates/lavenderseam_passthrough/src/agent/pending.rs
+++ b/crates/lavenderseam_passthrough/src/agent/pending.rs
@@ -21,7 +21,7 @@
 }
 
 /// The last packets that may come back.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct Pending {
     ring: Vec<Option<Packet>>,
     next: u32,
@@ -50,12 +50,3 @@
         slot.take_if(|packet| packet.mark == mark)
     }
 }
-
-impl Default for Pending {
-    fn default() -> Self {
-        Self {
-            ring: Vec::new(),
-            next: 0,
-        }
-    }
-}
--- a/crates/lavenderseam_passthrough/src/balancer/mod.rs
+++ b/crates/lavenderseam_passthrough/src/balancer/mod.rs
@@ -24,8 +24,8 @@
 
 use crate::desired::{Desired, Outs, Roster};
 use crate::message::{
-    Announcement, Carry, Gossip, Held, Known, Reason, Returned, ServiceTag, Standing, TRAIL_LIMIT, Tag,
-    Trail, Welcome,
+    Announcement, Carry, Gossip, Held, Known, Reason, Returned, ServiceTag, Standing, TRAIL_LIMIT,
+    Tag, Trail, Welcome,
 };
 use crate::segment::Segment;
 use cache::{Cache, Line, State};
@@ -544,10 +544,7 @@
             .targets
             .iter()
             .filter(|target| holders.contains(&target.service));
-        self.has_settled(now)
-            && !segment.flags.rst
-            && !holders.is_empty()
-            && targets.all(denies)
+        self.has_settled(now) && !segment.flags.rst && !holders.is_empty() && targets.all(denies)
     }
 
     /// Whether every target is known: the process has run for a while, and another balancer has
@@ -558,7 +555,8 @@
         };
         let agreed = self.peers.agreed().is_some_and(|agreed| agreed >= started);
         let ran = now.since(started);
-        (agreed && ran >= self.settings.settled) || (self.peers.is_empty() && ran >= self.settings.alone)
+        (agreed && ran >= self.settings.settled)
+            || (self.peers.is_empty() && ran >= self.settings.alone)
     }
 
     /// The backend server that held the flow has ended.
--- a/crates/lavenderseam_passthrough/src/balancer/peers.rs
+++ b/crates/lavenderseam_passthrough/src/balancer/peers.rs
@@ -75,7 +75,9 @@
 
     /// Whom to ask for records that were lacking for a span.
     pub(crate) fn ask(&mut self, span: Duration, now: Instant) -> Option<SocketAddrV4> {
-        let behind = self.behind.filter(|behind| now.since(behind.since) >= span)?;
+        let behind = self
+            .behind
+            .filter(|behind| now.since(behind.since) >= span)?;
         self.behind = None;
         Some(behind.rpc)
     }
--- a/crates/lavenderseam_passthrough/src/balancer/routes.rs
+++ b/crates/lavenderseam_passthrough/src/balancer/routes.rs
@@ -33,7 +33,11 @@
         let Some(route) = self.by_address.get(&flow.service) else {
             return Vec::new();
         };
-        let mut tags: Vec<_> = route.service(flow).map(ServiceTag::new).into_iter().collect();
+        let mut tags: Vec<_> = route
+            .service(flow)
+            .map(ServiceTag::new)
+            .into_iter()
+            .collect();
         for share in &route.shares {
             let tag = ServiceTag::new(&share.service);
             if !tags.contains(&tag) {
--- a/crates/lavenderseam_passthrough/src/balancer/targets.rs
+++ b/crates/lavenderseam_passthrough/src/balancer/targets.rs
@@ -288,7 +288,13 @@
     }
 
     /// Notes that it refused an opener.
-    pub(crate) fn refused(&mut self, reason: Reason, queues: bool, settings: &Settings, now: Instant) {
+    pub(crate) fn refused(
+        &mut self,
+        reason: Reason,
+        queues: bool,
+        settings: &Settings,
+        now: Instant,
+    ) {
         match reason {
             Reason::Busy if !queues => self.busy = now + settings.busy,
             Reason::Busy | Reason::Cold | Reason::Full | Reason::Shed => {
@@ -329,9 +335,7 @@
 
     /// Whether flows can be served there now.
     pub(crate) fn serves(&self, settings: &Settings, now: Instant) -> bool {
-        self.standing == Standing::Ready
-            && self.hears
-            && now.since(self.heard) < settings.isolated
+        self.standing == Standing::Ready && self.hears && now.since(self.heard) < settings.isolated
     }
 
     fn pending(&self, settings: &Settings, now: Instant) -> f32 {
--- a/crates/lavenderseam_passthrough/src/desired.rs
+++ b/crates/lavenderseam_passthrough/src/desired.rs
@@ -74,7 +74,11 @@
     /// The service that a new flow belongs to: the same in every process for the same shares.
     #[must_use]
     pub fn service(&self, flow: Flow) -> Option<&str> {
-        let total: u64 = self.shares.iter().map(|share| u64::from(share.weight)).sum();
+        let total: u64 = self
+            .shares
+            .iter()
+            .map(|share| u64::from(share.weight))
+            .sum();
         if total == 0 {
             return None;
         }
--- a/crates/lavenderseam_passthrough/tests/agent.rs
+++ b/crates/lavenderseam_passthrough/tests/agent.rs
@@ -241,7 +241,13 @@
     let mut asks = carry();
     asks.asks = true;
     let verdict = agent.carried(&request(2, 1), asks, BALANCER, at(6));
-    expect_that!(verdict, matches_pattern!(Verdict::Deliver { mark: eq(&0), held: some(anything()) }));
+    expect_that!(
+        verdict,
+        matches_pattern!(Verdict::Deliver {
+            mark: eq(&0),
+            held: some(anything())
+        })
+    );
 }
 
 #[gtest]
@@ -385,7 +391,10 @@
 #[gtest]
 fn a_bounce_without_its_mark_is_dropped() {
     let mut agent = agent();
-    expect_that!(agent.outbound(&opener(1), Some(99), at(1)), eq(&Outbound::Drop));
+    expect_that!(
+        agent.outbound(&opener(1), Some(99), at(1)),
+        eq(&Outbound::Drop)
+    );
 }
 
 #[gtest]
@@ -425,7 +434,13 @@
 #[gtest]
 fn an_agent_without_balancers_looks_them_up() {
     let mut agent = agent();
-    expect_that!(agent.tick(at(500)), not(contains(eq(&Action::FindBalancers))));
+    expect_that!(
+        agent.tick(at(500)),
+        not(contains(eq(&Action::FindBalancers)))
+    );
     expect_that!(agent.tick(at(1_600)), contains(eq(&Action::FindBalancers)));
-    expect_that!(agent.tick(at(1_700)), not(contains(eq(&Action::FindBalancers))));
+    expect_that!(
+        agent.tick(at(1_700)),
+        not(contains(eq(&Action::FindBalancers)))
+    );
 }
--- a/crates/lavenderseam_passthrough/tests/flows.rs
+++ b/crates/lavenderseam_passthrough/tests/flows.rs
@@ -33,7 +33,9 @@
     world.run_for(seconds(8));
     expect_that!(world.served(from), eq(1.0));
     expect_that!(world.resets, eq(0));
-    let slowest = (0..world.callers.len()).map(|caller| world.latency(caller).unwrap()).max();
+    let slowest = (0..world.callers.len())
+        .map(|caller| world.latency(caller).unwrap())
+        .max();
     expect_that!(slowest.unwrap(), le(milliseconds(60)));
 }
 
@@ -143,7 +145,9 @@
     let caller = world.request(0, milliseconds(2_500));
     world.run_for(milliseconds(50));
     let flow = world.callers[caller].flow.unwrap();
-    let holder = (0..6).find(|node| world.nodes[*node].backend.holds_open(flow)).unwrap();
+    let holder = (0..6)
+        .find(|node| world.nodes[*node].backend.holds_open(flow))
+        .unwrap();
     // Another balancer, which can't reach the holder, gets the flow.
     let (cut, node) = (world.entries[1].address, world.nodes[holder].address);
     world.cuts.insert((cut, node));
@@ -159,7 +163,9 @@
     let caller = world.request(0, milliseconds(2_500));
     world.run_for(milliseconds(50));
     let flow = world.callers[caller].flow.unwrap();
-    let holder = (0..6).find(|node| world.nodes[*node].backend.holds_open(flow)).unwrap();
+    let holder = (0..6)
+        .find(|node| world.nodes[*node].backend.holds_open(flow))
+        .unwrap();
     let (cut, node) = (world.entries[1].address, world.nodes[holder].address);
     // It never hears of the holder before it gets the flow.
     world.cuts.insert((cut, node));
@@ -231,17 +237,25 @@
     world.outs.domains.insert("a".to_owned());
     for entry in 0..2 {
         let outs = world.outs.clone();
-        world.entries[entry].balancer.as_mut().unwrap().take_outs(outs);
+        world.entries[entry]
+            .balancer
+            .as_mut()
+            .unwrap()
+            .take_outs(outs);
     }
     world.run_for(seconds(1));
-    let taken: usize = (0..2).map(|node| world.nodes[node].backend.openers.len()).sum();
+    let taken: usize = (0..2)
+        .map(|node| world.nodes[node].backend.openers.len())
+        .sum();
     // Balancer 2 hasn't heard of it; the agents have, from the others.
     for balancer in 0..3 {
         world.load(balancer, 50, seconds(2), WORK);
     }
     let from = world.instant();
     world.run_for(seconds(4));
-    let after: usize = (0..2).map(|node| world.nodes[node].backend.openers.len()).sum();
+    let after: usize = (0..2)
+        .map(|node| world.nodes[node].backend.openers.len())
+        .sum();
     expect_that!(after, eq(taken));
     expect_that!(world.served(from), eq(1.0));
 }
@@ -280,6 +294,8 @@
     let from = world.instant();
     world.run_for(seconds(4));
     expect_that!(world.served(from), eq(1.0));
-    let slowest = (0..world.callers.len()).map(|caller| world.latency(caller).unwrap()).max();
+    let slowest = (0..world.callers.len())
+        .map(|caller| world.latency(caller).unwrap())
+        .max();
     expect_that!(slowest.unwrap(), le(milliseconds(150)));
 }
--- a/crates/lavenderseam_passthrough/tests/loads.rs
+++ b/crates/lavenderseam_passthrough/tests/loads.rs
@@ -17,7 +17,12 @@
 fn most_in_a_second(world: &World, node: usize, from: u64) -> usize {
     let openers = &world.nodes[node].backend.openers;
     let recent: Vec<u64> = openers.iter().copied().filter(|at| *at >= from).collect();
-    let within = |start: &u64| recent.iter().filter(|at| (*start..start + 1_000_000).contains(at)).count();
+    let within = |start: &u64| {
+        recent
+            .iter()
+            .filter(|at| (*start..start + 1_000_000).contains(at))
+            .count()
+    };
     recent.iter().map(within).max().unwrap_or(0)
 }
 
@@ -43,7 +48,11 @@
         world.load(balancer, 300, seconds(10), WORK);
     }
     world.run_for(seconds(12));
-    let ran: Vec<f64> = world.nodes.iter().map(|node| node.backend.ran as f64).collect();
+    let ran: Vec<f64> = world
+        .nodes
+        .iter()
+        .map(|node| node.backend.ran as f64)
+        .collect();
     let mean = ran.iter().sum::<f64>() / ran.len() as f64;
     let most = ran.iter().copied().fold(0.0, f64::max);
     expect_that!(most / mean, le(1.15));
--- a/crates/lavenderseam_passthrough/tests/messages.rs
+++ b/crates/lavenderseam_passthrough/tests/messages.rs
@@ -36,16 +36,27 @@
 }
 
 fn message() -> impl Strategy<Value = Message> {
-    let reason = prop_oneof![Just(Reason::NotHeld), Just(Reason::Busy), Just(Reason::DomainOut)];
+    let reason = prop_oneof![
+        Just(Reason::NotHeld),
+        Just(Reason::Busy),
+        Just(Reason::DomainOut)
+    ];
     let returned = (reason, load(), carry());
     let announcement = (any::<u64>(), "[a-z0-9]{0,40}", load(), any::<bool>());
     prop_oneof![
         carry().prop_map(Message::Carry),
         returned.prop_map(|(reason, load, carry)| {
-            Message::Returned(Returned { reason, load, carry })
+            Message::Returned(Returned {
+                reason,
+                load,
+                carry,
+            })
         }),
         (address(), address(), load()).prop_map(|(caller, service, load)| {
-            Message::Held(Held { flow: Flow::new(caller, service), load })
+            Message::Held(Held {
+                flow: Flow::new(caller, service),
+                load,
+            })
         }),
         announcement.prop_map(|(run, service, load, hears)| {
             Message::Announcement(Announcement {
--- a/crates/lavenderseam_passthrough/tests/world/backend.rs
+++ b/crates/lavenderseam_passthrough/tests/world/backend.rs
@@ -111,7 +111,7 @@
 }
 
 impl World {
-    pub(super) fn to_backend(&mut self, node: usize, segment: Segment, mark: u32) {
+    pub(super) fn backend_receives(&mut self, node: usize, segment: Segment, mark: u32) {
         let backend = &mut self.nodes[node].backend;
         if backend.boot == 0 {
             return;
--- a/crates/lavenderseam_passthrough/tests/world/caller.rs
+++ b/crates/lavenderseam_passthrough/tests/world/caller.rs
@@ -84,11 +84,15 @@
     }
 
     pub(super) fn work(&self, flow: Flow) -> Duration {
-        let caller = self.callers.iter().rev().find(|caller| caller.flow == Some(flow));
+        let caller = self
+            .callers
+            .iter()
+            .rev()
+            .find(|caller| caller.flow == Some(flow));
         caller.map_or(Duration::ZERO, |caller| caller.work)
     }
 
-    pub(super) fn to_caller(&mut self, segment: &Segment) {
+    pub(super) fn caller_receives(&mut self, segment: &Segment) {
         let Some(index) = self.caller(segment.flow) else {
             return;
         };
@@ -145,9 +149,9 @@
     }
 
     fn caller(&self, flow: Flow) -> Option<usize> {
-        self.callers.iter().rposition(|caller| {
-            caller.flow == Some(flow) && caller.outcome == Outcome::Pending
-        })
+        self.callers
+            .iter()
+            .rposition(|caller| caller.flow == Some(flow) && caller.outcome == Outcome::Pending)
     }
 
     fn send_opener(&mut self, index: usize) {
--- a/crates/lavenderseam_passthrough/tests/world/mod.rs
+++ b/crates/lavenderseam_passthrough/tests/world/mod.rs
@@ -299,12 +299,12 @@
                 message,
                 packet,
             } => self.message(to, from, message, packet),
-            Event::ToBackend(node, segment, mark) => self.to_backend(node, segment, mark),
+            Event::ToBackend(node, segment, mark) => self.backend_receives(node, segment, mark),
             Event::FromBackend(node, segment, bounced) => {
-                self.from_backend(node, &segment, bounced);
+                self.backend_sent(node, &segment, bounced);
             }
             Event::Done(node, flow, boot) => self.done(node, flow, boot),
-            Event::ToCaller(segment) => self.to_caller(&segment),
+            Event::ToCaller(segment) => self.caller_receives(&segment),
             Event::Reset(flow) => self.reset(flow),
             Event::Alarm(caller, alarm) => self.alarm(caller, alarm),
             Event::Script(index) => {
@@ -350,7 +350,9 @@
             return;
         }
         let other = self.entries.iter().find(|entry| entry.address == rpc);
-        let known = other.and_then(|entry| entry.balancer.as_ref()).map(|other| other.known(now));
+        let known = other
+            .and_then(|entry| entry.balancer.as_ref())
+            .map(|other| other.known(now));
         let balancer = self.entries[index].balancer.as_mut();
         if let (Some(known), Some(balancer)) = (known, balancer) {
             balancer.merge(&known, now);
@@ -477,7 +479,9 @@
                             self.send(own, from, Message::Held(held), None);
                         }
                     }
-                    agent::Verdict::Return(returned) => self.give_back(own, from, returned, segment),
+                    agent::Verdict::Return(returned) => {
+                        self.give_back(own, from, returned, segment);
+                    }
                     agent::Verdict::Drop => {}
                 }
             }
@@ -486,11 +490,17 @@
         }
     }
 
-    fn give_back(&mut self, own: SocketAddrV4, to: SocketAddrV4, returned: Returned, segment: Segment) {
+    fn give_back(
+        &mut self,
+        own: SocketAddrV4,
+        to: SocketAddrV4,
+        returned: Returned,
+        segment: Segment,
+    ) {
         self.send(own, to, Message::Returned(returned), Some(segment));
     }
 
-    fn from_backend(&mut self, index: usize, segment: &Segment, bounced: Option<u32>) {
+    fn backend_sent(&mut self, index: usize, segment: &Segment, bounced: Option<u32>) {
         let now = self.instant();
         let own = self.nodes[index].address;
         let Some(agent) = &mut self.nodes[index].agent else {
