--- a/crates/lavenderseam_node/src/agent/mod.rs
+++ b/crates/lavenderseam_node/src/agent/mod.rs
@@ -157,8 +157,8 @@
     }
 
     /// Logs a call that can't be read.
-    pub fn unreadable(&self, error: impl ToString) {
-        self.work.unreadable("backend", &error);
+    pub fn unreadable(&self, error: &impl ToString) {
+        self.work.unreadable("backend", error);
     }
 }
 
--- a/crates/lavenderseam_node/src/balancer/records.rs
+++ b/crates/lavenderseam_node/src/balancer/records.rs
@@ -135,7 +135,7 @@
     }
 
     /// Logs that the store was lost or regained.
-    pub fn store(&self, change: Change, reason: impl ToString) {
+    pub fn store(&self, change: Change, reason: &impl ToString) {
         self.work.log(&Event::Dependency {
             name: "store",
             change,
@@ -144,7 +144,7 @@
     }
 
     /// Logs a record that can't be read.
-    pub fn unreadable(&self, error: impl ToString) {
+    pub fn unreadable(&self, error: &impl ToString) {
         self.work.metrics.malformed.inc();
         self.work.log(&Event::Malformed {
             source: "store",
--- a/crates/lavenderseam_passthrough/tests/loads.rs
+++ b/crates/lavenderseam_passthrough/tests/loads.rs
@@ -1,5 +1,7 @@
 //! Who waits, who is refused and where work goes, each test under the load that it names.
 
+#![expect(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
+
 mod world;
 
 use std::time::Duration;
--- a/crates/lavenderseam_passthrough/tests/messages.rs
+++ b/crates/lavenderseam_passthrough/tests/messages.rs
@@ -1,7 +1,5 @@
 //! Messages between processes: what is written is read again, and no bytes do harm.
 
-#![expect(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
-
 use std::net::{Ipv4Addr, SocketAddrV4};
 
 use lavenderseam_passthrough::flow::Flow;
