Tell a flow's story from the logs of several processes

Cause: an operator with a failed flow had to search the logs of every balancer and agent by hand. Change: `lavenderseam trace CALLER` reads logs from standard input, shows the flow's lines and the changes around them in order, and says which processes and lines are missing.

--- a/crates/lavenderseam_cli/src/arguments.rs
+++ b/crates/lavenderseam_cli/src/arguments.rs
@@ -61,6 +61,8 @@
     Status(command::status::Status),
     /// Tells where a new flow goes, and why.
     Explain(command::explain::Explain),
+    /// Joins the logs of several processes into a flow's story.
+    Trace(command::trace::Trace),
 }
 
 /// Form of the output.
--- a/crates/lavenderseam_cli/src/bin/lavenderseam.rs
+++ b/crates/lavenderseam_cli/src/bin/lavenderseam.rs
@@ -6,7 +6,9 @@
 use std::time::Duration;
 
 use argh::FromArgs;
-use lavenderseam_cli::command::{apply, delete, domain, drain, explain, read, status, watch};
+use lavenderseam_cli::command::{
+    apply, delete, domain, drain, explain, read, status, trace, watch,
+};
 use lavenderseam_cli::edit::Editor;
 use lavenderseam_cli::{
     Arguments, Command, Error, Exit, Output, Report, Settings, SettingsError, hoist,
@@ -53,6 +55,9 @@
 }
 
 async fn run(arguments: &Arguments) -> Result<Report, Error> {
+    if let Command::Trace(command) = &arguments.command {
+        return Ok(trace::trace(command, std::io::stdin().lock())?);
+    }
     let settings = match &arguments.settings {
         Some(path) => Settings::load(path)?,
         None => Settings::default(),
@@ -77,6 +82,8 @@
         Command::Domain(command) => domain::set(&editor, command, dry_run).await,
         Command::Status(command) => status::status(&editor, command, &settings.processes).await,
         Command::Explain(command) => explain::explain(&editor, command, seed(&settings)?).await,
+        // It needs no store, so it was done before.
+        Command::Trace(_) => Ok(Report::new("", serde_json::Value::Null)),
         Command::Watch(command) => {
             let show = |report: Report| print(&report, arguments.output);
             watch::watch(&editor, command, show).await?;
--- a/crates/lavenderseam_cli/src/command/mod.rs
+++ b/crates/lavenderseam_cli/src/command/mod.rs
@@ -8,6 +8,7 @@
 pub mod read;
 mod selector;
 pub mod status;
+pub mod trace;
 pub mod watch;
 
 pub use selector::Selector;
--- a/crates/lavenderseam_cli/src/error.rs
+++ b/crates/lavenderseam_cli/src/error.rs
@@ -7,6 +7,7 @@
 use lavenderseam_platform as platform;
 use serde_json::{Value, json};
 
+use crate::command::trace;
 use crate::{SettingsError, record};
 
 /// Exit codes of the command line.
@@ -48,6 +49,8 @@
     Settings(SettingsError),
     /// A file or argument holds a record that can't be accepted.
     Record(record::Error),
+    /// Logs can't be traced.
+    Trace(trace::Error),
     /// A command needs a setting that isn't given; holds its key.
     Needs(&'static str),
     /// The record doesn't exist.
@@ -79,6 +82,8 @@
     pub fn exit(&self) -> Exit {
         match self {
             Self::Settings(_) | Self::Record(_) | Self::Needs(_) => Exit::Usage,
+            Self::Trace(trace::Error::Id(_)) => Exit::Usage,
+            Self::Trace(trace::Error::Read(_)) => Exit::Failure,
             Self::Missing(_) | Self::NoService(_) | Self::Rejected(_) => Exit::Failure,
             Self::Conflict(_) => Exit::Conflict,
             Self::Unknown(_) => Exit::Unknown,
@@ -118,6 +123,7 @@
         match self {
             Self::Settings(error) => error.fmt(formatter),
             Self::Record(error) => error.fmt(formatter),
+            Self::Trace(error) => error.fmt(formatter),
             Self::Needs(key) => write!(
                 formatter,
                 "{key} isn't given; give --{key} or set it in the file of --settings"
@@ -166,6 +172,12 @@
     }
 }
 
+impl From<trace::Error> for Error {
+    fn from(error: trace::Error) -> Self {
+        Self::Trace(error)
+    }
+}
+
 impl From<SettingsError> for Error {
     fn from(error: SettingsError) -> Self {
         Self::Settings(error)
