Take a flow that its backend server bounces for ended, and probe one that bounces openers

Ruled out: closed ports seen by the datagram socket (none was reported). Change: every packet that is handed over is marked; one of an open flow that comes back ends the flow, and the caller is reset; after three bounces in a row openers are rejected for 200 ms at a time, and the backend server's port is tried at once.

--- a/crates/lavenderseam_passthrough/src/agent/mod.rs
+++ b/crates/lavenderseam_passthrough/src/agent/mod.rs
@@ -110,6 +110,7 @@
     /// Whether all balancers must be told at once.
     urgent: bool,
     silence: Silence,
+    shedding: Shedding,
 }
 
 /// What balancers said of the service.
@@ -132,6 +133,30 @@
     probed: Option<Instant>,
 }
 
+/// Packets in a row that the backend server has bounced though it should have taken them.
+#[derive(Clone, Copy, Debug, Default)]
+struct Shedding {
+    count: u32,
+    /// When it bounced one last.
+    last: Instant,
+}
+
+/// Bounces in a row after which openers are rejected without being tried.
+const SHED_LIMIT: u32 = 3;
+/// How long they are: about the time in which a queue of a few requests empties.
+const SHED_PAUSE: std::time::Duration = std::time::Duration::from_millis(200);
+
+impl Shedding {
+    fn note(&mut self, now: Instant) {
+        self.count = self.count.saturating_add(1);
+        self.last = now;
+    }
+
+    fn rejects(&self, now: Instant) -> bool {
+        self.count >= SHED_LIMIT && now.since(self.last) < SHED_PAUSE
+    }
+}
+
 /// How long a backend server may leave packets unanswered before it is asked whether it lives: it
 /// answers a handshake within a millisecond and a request within its longest work.
 const SILENCE: std::time::Duration = std::time::Duration::from_millis(500);
@@ -162,6 +187,7 @@
             count: 0,
             urgent: false,
             silence: Silence::default(),
+            shedding: Shedding::default(),
         }
     }
 
@@ -183,7 +209,8 @@
                     flow: segment.flow,
                     load: self.load(now),
                 });
-                Verdict::Deliver { mark: 0, held }
+                let mark = self.pending.insert(balancer, &carry);
+                Verdict::Deliver { mark, held }
             }
             Ok(Step::Admitted | Step::Tried) => {
                 self.handed_over(now);
@@ -205,21 +232,17 @@
     pub fn outbound(&mut self, segment: &Segment, bounced: Option<u32>, now: Instant) -> Outbound {
         self.silence.since = None;
         let Some(mark) = bounced else {
+            self.shedding = Shedding::default();
             if self.flows.get(segment.flow).is_none() {
                 self.flows.find(segment.flow, now);
             }
             self.flows.take_answer(segment, now);
             return Outbound::Caller;
         };
-        let opens = segment.is_opener();
-        let entry = self.flows.get(segment.flow);
-        if entry.is_some_and(|entry| opens || entry.state != State::Closed) {
-            self.flows.remove(segment.flow, now);
-        }
-        let Some(packet) = self.pending.take(mark) else {
+        let reason = self.bounced(segment, now);
+        let (Some(reason), Some(packet)) = (reason, self.pending.take(mark)) else {
             return Outbound::Drop;
         };
-        let reason = if opens { Reason::Shed } else { Reason::NotHeld };
         let returned = Returned {
             reason,
             load: self.load(now),
@@ -229,6 +252,34 @@
         Outbound::Return { balancer, returned }
     }
 
+    /// Notes that the backend server doesn't take a packet; returns why its balancer gets it back,
+    /// if it does.
+    fn bounced(&mut self, segment: &Segment, now: Instant) -> Option<Reason> {
+        let flow = segment.flow;
+        let state = self.flows.get(flow).map(|entry| entry.state);
+        if segment.is_opener() {
+            self.flows.remove(flow, now);
+            self.shedding.note(now);
+            return Some(Reason::Shed);
+        }
+        match state {
+            // Both ends have closed it, so nobody needs the packet.
+            Some(State::Closed) => None,
+            // The backend server held the flow and no longer does.
+            Some(State::Open) => {
+                self.flows.remove(flow, now);
+                self.end_flow(flow, now);
+                self.shedding.note(now);
+                Some(Reason::Ended)
+            }
+            Some(State::Opening(_)) => {
+                self.flows.remove(flow, now);
+                Some(Reason::NotHeld)
+            }
+            None => Some(Reason::NotHeld),
+        }
+    }
+
     /// Takes a heartbeat of the backend server.
     ///
     /// # Errors
@@ -410,6 +461,9 @@
         if self.limits.out {
             return Err(Reason::DomainOut);
         }
+        if self.shedding.rejects(now) {
+            return Err(Reason::Shed);
+        }
         let (slots, cold) = (present.slots, present.is_cold(now));
         let connections = self.limits.connections.map(|limit| limit as usize);
         if self.flows.len() >= connections.unwrap_or(self.settings.flows) {
@@ -438,11 +492,17 @@
     /// Forgets the flows of a backend server that has ended, but for the fact that it held them.
     fn end_flows(&mut self, now: Instant) {
         for flow in self.flows.clear(now) {
-            if self.ended.len() < self.settings.ended_limit {
-                self.ended.insert(flow, now);
-            }
+            self.end_flow(flow, now);
         }
         self.pending = Pending::default();
+        self.shedding = Shedding::default();
+    }
+
+    /// Remembers that a flow was held here and has ended.
+    fn end_flow(&mut self, flow: Flow, now: Instant) {
+        if self.ended.len() < self.settings.ended_limit {
+            self.ended.insert(flow, now);
+        }
     }
 
     fn handed_over(&mut self, now: Instant) {
@@ -453,7 +513,8 @@
         let silent = self
             .silence
             .since
-            .is_some_and(|at| now.since(at) >= SILENCE);
+            .is_some_and(|at| now.since(at) >= SILENCE)
+            || self.shedding.count > 0;
         let paused = self
             .silence
             .probed
