--- a/crates/lavenderseam_node/src/balancer/work.rs
+++ b/crates/lavenderseam_node/src/balancer/work.rs
@@ -179,6 +179,7 @@
                 cause,
                 revision: desired.map_or_else(Default::default, |held| held.revision),
                 outs: balancer.outs().revision,
+                targets: balancer.tally(segment.flow, now),
             }
         };
         self.log.write_with(Key::packet(cause), event, now);
--- a/crates/lavenderseam_node/src/log/event.rs
+++ b/crates/lavenderseam_node/src/log/event.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddrV4;
 
 use lavenderseam_core::catalog::Revision;
-use lavenderseam_passthrough::balancer::Cause;
+use lavenderseam_passthrough::balancer::{Cause, Tally};
 use lavenderseam_passthrough::desired::Service;
 use lavenderseam_passthrough::flow::Flow;
 use lavenderseam_passthrough::message::{Load, Reason, Standing, Trail};
@@ -122,6 +122,8 @@
         revision: Revision,
         /// Revision of the failure domains that are out.
         outs: Revision,
+        /// The service's targets as the balancer sees them.
+        targets: Tally,
     },
     /// An agent has returned a packet to the balancer.
     Returned {
--- a/crates/lavenderseam_passthrough/src/balancer/mod.rs
+++ b/crates/lavenderseam_passthrough/src/balancer/mod.rs
@@ -23,6 +23,7 @@
 use lavenderseam_core::time::Instant;
 
 use crate::desired::{Desired, Outs, Roster};
+use crate::flow::Flow;
 use crate::message::{
     Announcement, Carry, Gossip, Held, Known, Reason, Returned, ServiceTag, Standing, TRAIL_LIMIT,
     Tag, Trail, Welcome,
@@ -32,6 +33,7 @@
 use peers::Peers;
 use routes::Routes;
 pub use settings::Settings;
+pub use targets::Tally;
 use targets::{Change, Request, Targets};
 pub use verdict::{Cause, Verdict};
 
@@ -300,6 +302,16 @@
         &self.outs
     }
 
+    /// What a decision about a new flow rests on.
+    #[must_use]
+    pub fn tally(&self, flow: Flow, now: Instant) -> Tally {
+        let Some(service) = self.routes.service(flow) else {
+            return Tally::default();
+        };
+        let is_out = |domain: &str| self.outs.domains.contains(domain);
+        self.targets.tally(service, &self.settings, is_out, now)
+    }
+
     /// Flows remembered.
     #[must_use]
     pub fn flows(&self) -> usize {
--- a/crates/lavenderseam_passthrough/src/balancer/targets.rs
+++ b/crates/lavenderseam_passthrough/src/balancer/targets.rs
@@ -11,6 +11,7 @@
 
 use lavenderseam_core::rank::score;
 use lavenderseam_core::time::Instant;
+use serde::Serialize;
 
 use super::Settings;
 use crate::flow::Flow;
@@ -203,6 +204,36 @@
         best.map(|(doubtful, _, tag)| Choice { tag, doubtful })
     }
 
+    /// The targets of a service by what stands in the way of a new flow.
+    pub(crate) fn tally(
+        &self,
+        service: ServiceTag,
+        settings: &Settings,
+        is_out: impl Fn(&str) -> bool,
+        now: Instant,
+    ) -> Tally {
+        let mut tally = Tally::default();
+        for target in self.iter().filter(|target| target.service == service) {
+            let count = if target.standing != Standing::Ready {
+                &mut tally.closed
+            } else if is_out(&target.domain) {
+                &mut tally.out
+            } else if target.is_doubtful(settings, now) {
+                &mut tally.doubtful
+            } else {
+                let age = now.since(target.heard).as_millis() as u64;
+                tally.age_ms = tally.age_ms.max(age);
+                if now < target.full {
+                    &mut tally.refusing
+                } else {
+                    &mut tally.open
+                }
+            };
+            *count += 1;
+        }
+        tally
+    }
+
     /// The next target that may hold a flow: those that answer first, then the own failure
     /// domain's, then by rendezvous order.
     pub(crate) fn holder(
@@ -223,6 +254,24 @@
     }
 }
 
+/// The targets of a service by what stands in the way of a new flow, for logs.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct Tally {
+    /// Targets that would be offered one.
+    pub open: u16,
+    /// Targets that have refused one in the last moments.
+    pub refusing: u16,
+    /// Targets that may not answer.
+    pub doubtful: u16,
+    /// Targets that are draining, have ended or weren't heard yet.
+    pub closed: u16,
+    /// Targets in failure domains that are out.
+    pub out: u16,
+    /// Age of the oldest announcement behind this, in milliseconds; those of closed and doubtful
+    /// targets don't count.
+    pub age_ms: u64,
+}
+
 /// A flow that needs a target.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Request<'a> {
