Ask a target that was silent again once all others have denied a flow

Change: when no target is left, the silent ones that are heard by then are asked. Test: a_search_comes_back_to_the_target_that_was_silent, which fails without the change.

--- a/crates/lavenderseam_cli/src/command/trace.rs
+++ b/crates/lavenderseam_cli/src/command/trace.rs
@@ -122,9 +122,7 @@
             (begun - BEFORE..=ended + AFTER).contains(&line.time)
                 && concerned.contains(&line.process)
         };
-        for line in lines.iter().filter(within) {
-            missing.extend(line.suppressed());
-        }
+        missing.extend(suppressed(lines.iter().filter(within)));
         let is_own = |line: &Line| own.iter().any(|own| std::ptr::eq(*own, line));
         let mut shown: Vec<&Line> = lines
             .iter()
@@ -143,7 +141,7 @@
             "no line names the flow: packets that go where they were sent are counted, not logged"
                 .to_owned(),
         ];
-        missing.extend(lines.iter().flat_map(Line::suppressed));
+        missing.extend(suppressed(lines.iter()));
         Self {
             begun: 0,
             lines: Vec::new(),
@@ -207,22 +205,6 @@
         addresses.map(str::to_owned).collect()
     }
 
-    fn suppressed(&self) -> Option<String> {
-        if self.event != "suppressed" {
-            return None;
-        }
-        let word = |name: &str| self.fields.get(name).and_then(Value::as_str).unwrap_or("");
-        let lines = self
-            .fields
-            .get("lines")
-            .and_then(Value::as_u64)
-            .unwrap_or(0);
-        let (process, of, reason) = (&self.process, word("of"), word("reason"));
-        Some(format!(
-            "{lines} lines {of} {reason} of {process} beyond their budget"
-        ))
-    }
-
     fn text(&self, begun: i64) -> String {
         let after = self.time - begun;
         let fields = Value::Object(self.fields.clone());
@@ -241,6 +223,22 @@
     }
 }
 
+/// Lines that exceeded their budget, summed by process, kind and reason.
+fn suppressed<'a>(lines: impl Iterator<Item = &'a Line>) -> Vec<String> {
+    let mut sums: BTreeMap<(&str, &str, &str), u64> = BTreeMap::new();
+    for line in lines.filter(|line| line.event == "suppressed") {
+        let word = |name: &str| line.fields.get(name).and_then(Value::as_str);
+        let (of, reason) = (word("of").unwrap_or(""), word("reason").unwrap_or(""));
+        let count = line.fields.get("lines").and_then(Value::as_u64);
+        *sums.entry((&line.process, of, reason)).or_default() += count.unwrap_or(0);
+    }
+    let sums = sums.into_iter();
+    sums.map(|((process, of, reason), count)| {
+        format!("{count} lines {of} {reason} of {process} beyond their budget")
+    })
+    .collect()
+}
+
 /// Processes by the address that they said they have.
 fn addresses(lines: &[Line]) -> BTreeMap<String, String> {
     let started = lines.iter().filter(|line| line.event == "start");
--- a/crates/lavenderseam_passthrough/src/balancer/mod.rs
+++ b/crates/lavenderseam_passthrough/src/balancer/mod.rs
@@ -516,26 +516,14 @@
         {
             return verdict;
         }
-        let holders = self.routes.holders(segment.flow);
-        for service in holders {
-            let request = Request {
-                flow: segment.flow,
-                service,
-                trail: &trail,
-                domain: &self.place.domain,
-            };
-            let Some(tag) = self.targets.holder(&request, &self.settings, now) else {
-                continue;
-            };
-            let line = Line {
-                tag,
-                state: State::Searching,
-                since: now,
-            };
-            self.cache.insert(segment.flow, line, now);
-            return self
-                .forward(tag, service, trail, true)
-                .unwrap_or(Verdict::Drop(Cause::NoTarget));
+        if let Some(verdict) = self.try_holder(segment, &trail, now) {
+            return verdict;
+        }
+        // A target that was silent before is asked again once all others have denied the flow.
+        if let Some(trail) = self.without_silent(&trail, now)
+            && let Some(verdict) = self.try_holder(segment, &trail, now)
+        {
+            return verdict;
         }
         self.cache.remove(segment.flow);
         if self.is_certainly_unowned(segment, &trail, now) {
@@ -544,6 +532,40 @@
         Verdict::Drop(Cause::Unowned)
     }
 
+    /// Sends a packet to the next target that may hold its flow.
+    fn try_holder(&mut self, segment: &Segment, trail: &Trail, now: Instant) -> Option<Verdict> {
+        let holders = self.routes.holders(segment.flow);
+        let next = holders.into_iter().find_map(|service| {
+            let request = Request {
+                flow: segment.flow,
+                service,
+                trail,
+                domain: &self.place.domain,
+            };
+            let tag = self.targets.holder(&request, &self.settings, now)?;
+            Some((service, tag))
+        });
+        let (service, tag) = next?;
+        let line = Line {
+            tag,
+            state: State::Searching,
+            since: now,
+        };
+        self.cache.insert(segment.flow, line, now);
+        self.forward(tag, service, trail.clone(), true)
+    }
+
+    /// The trail without the silent targets that are heard now; none if there are none.
+    fn without_silent(&self, trail: &Trail, now: Instant) -> Option<Trail> {
+        let heard = |tag: &Tag| {
+            let target = self.targets.get(*tag);
+            target.is_some_and(|target| !target.is_doubtful(&self.settings, now))
+        };
+        let mut rest = trail.clone();
+        rest.silent.retain(|tag| !heard(tag));
+        (rest.silent.len() < trail.silent.len()).then_some(rest)
+    }
+
     /// Whether nobody holds a flow: every target has said so, and none may be unknown here.
     fn is_certainly_unowned(&self, segment: &Segment, trail: &Trail, now: Instant) -> bool {
         let holders = self.routes.holders(segment.flow);
--- a/crates/lavenderseam_passthrough/tests/flows.rs
+++ b/crates/lavenderseam_passthrough/tests/flows.rs
@@ -299,3 +299,24 @@
         .max();
     expect_that!(slowest.unwrap(), le(milliseconds(150)));
 }
+
+#[gtest]
+fn a_search_comes_back_to_the_target_that_was_silent() {
+    let mut world = World::new(&["a", "b"], &["a", "b"], 4);
+    let caller = world.request(0, seconds(2));
+    world.run_for(milliseconds(50));
+    let flow = world.callers[caller].flow.unwrap();
+    let holder = (0..2)
+        .find(|node| world.nodes[*node].backend.holds_open(flow))
+        .unwrap();
+    // The machine loses power and comes back, and another balancer gets the flow.
+    world.nodes[holder].backend.stop();
+    world.nodes[holder].agent = None;
+    world.callers[caller].balancer = 1;
+    world.run_for(milliseconds(350));
+    world.start_backend(holder, Duration::ZERO);
+    world.start_agent(holder);
+    world.run_for(milliseconds(500));
+    expect_that!(world.callers[caller].attempts, eq(2));
+    expect_that!(world.wrong_resets, is_empty());
+}
