Divide the balancer's and the agent's decisions by concern

One difference: any bounce counts as an answer for the probe of a silent backend server. Tests: all of lavenderseam_passthrough pass. Conclusion: no other change of behaviour.

--- a/crates/lavenderseam_passthrough/src/agent/mod.rs
+++ b/crates/lavenderseam_passthrough/src/agent/mod.rs
@@ -9,8 +9,10 @@
 //! hands over packets of unknown flows with a mark, and the backend server bounces those that it
 //! doesn't hold.
 
+mod admission;
 mod backend;
 mod balancers;
+mod doubt;
 mod flows;
 mod pending;
 mod settings;
@@ -26,9 +28,11 @@
     Announcement, Carry, Held, Load, Reason, Returned, ServiceTag, Standing, Welcome,
 };
 use crate::segment::Segment;
+use admission::Step;
 use backend::Backend;
 pub use backend::{Beat, Heartbeat, Rejection};
 use balancers::Balancers;
+use doubt::Doubt;
 use flows::{Flows, State};
 use pending::Pending;
 pub use settings::Settings;
@@ -109,8 +113,7 @@
     count: u64,
     /// Whether all balancers must be told at once.
     urgent: bool,
-    silence: Silence,
-    shedding: Shedding,
+    doubt: Doubt,
 }
 
 /// What balancers said of the service.
@@ -125,44 +128,6 @@
     out: bool,
 }
 
-/// Whether the backend server still sends anything.
-#[derive(Clone, Copy, Debug, Default)]
-struct Silence {
-    /// The first packet handed over since the backend server last sent one.
-    since: Option<Instant>,
-    probed: Option<Instant>,
-}
-
-/// Packets in a row that the backend server has bounced though it should have taken them.
-#[derive(Clone, Copy, Debug, Default)]
-struct Shedding {
-    count: u32,
-    /// When it bounced one last.
-    last: Instant,
-}
-
-/// Bounces in a row after which openers are rejected without being tried.
-const SHED_LIMIT: u32 = 3;
-/// How long they are: about the time in which a queue of a few requests empties.
-const SHED_PAUSE: std::time::Duration = std::time::Duration::from_millis(200);
-
-impl Shedding {
-    fn note(&mut self, now: Instant) {
-        self.count = self.count.saturating_add(1);
-        self.last = now;
-    }
-
-    fn rejects(&self, now: Instant) -> bool {
-        self.count >= SHED_LIMIT && now.since(self.last) < SHED_PAUSE
-    }
-}
-
-/// How long a backend server may leave packets unanswered before it is asked whether it lives: it
-/// answers a handshake within a millisecond and a request within its longest work.
-const SILENCE: std::time::Duration = std::time::Duration::from_millis(500);
-/// Time between two such questions.
-const PROBE_PAUSE: std::time::Duration = std::time::Duration::from_secs(1);
-
 impl Agent {
     /// An agent that knows nothing yet.
     #[must_use]
@@ -186,8 +151,7 @@
             limits: Limits::default(),
             count: 0,
             urgent: false,
-            silence: Silence::default(),
-            shedding: Shedding::default(),
+            doubt: Doubt::default(),
         }
     }
 
@@ -203,7 +167,7 @@
         match self.decide(segment, &carry, now) {
             Ok(Step::Known) => {
                 self.flows.take_request(segment, now);
-                self.handed_over(now);
+                self.doubt.handed_over(now);
                 let known = carry.asks && !segment.is_opener();
                 let held = known.then(|| Held {
                     flow: segment.flow,
@@ -213,7 +177,7 @@
                 Verdict::Deliver { mark, held }
             }
             Ok(Step::Admitted | Step::Tried) => {
-                self.handed_over(now);
+                self.doubt.handed_over(now);
                 let mark = self.pending.insert(balancer, &carry);
                 Verdict::Deliver { mark, held: None }
             }
@@ -230,15 +194,15 @@
     ///
     /// A bounced one comes with the mark that it was handed over with.
     pub fn outbound(&mut self, segment: &Segment, bounced: Option<u32>, now: Instant) -> Outbound {
-        self.silence.since = None;
         let Some(mark) = bounced else {
-            self.shedding = Shedding::default();
+            self.doubt.sent();
             if self.flows.get(segment.flow).is_none() {
                 self.flows.find(segment.flow, now);
             }
             self.flows.take_answer(segment, now);
             return Outbound::Caller;
         };
+        self.doubt.answered();
         let reason = self.bounced(segment, now);
         let (Some(reason), Some(packet)) = (reason, self.pending.take(mark)) else {
             return Outbound::Drop;
@@ -259,7 +223,7 @@
         let state = self.flows.get(flow).map(|entry| entry.state);
         if segment.is_opener() {
             self.flows.remove(flow, now);
-            self.shedding.note(now);
+            self.doubt.bounced(now);
             return Some(Reason::Shed);
         }
         match state {
@@ -269,7 +233,7 @@
             Some(State::Open) => {
                 self.flows.remove(flow, now);
                 self.end_flow(flow, now);
-                self.shedding.note(now);
+                self.doubt.bounced(now);
                 Some(Reason::Ended)
             }
             Some(State::Opening(_)) => {
@@ -299,7 +263,7 @@
                 }
                 self.urgent = true;
                 self.warmup.clear();
-                self.silence = Silence::default();
+                self.doubt = Doubt::default();
             }
         }
         Ok(taken)
@@ -357,7 +321,7 @@
         if self.balancers.is_alone(&self.settings, now) {
             actions.push(Action::FindBalancers);
         }
-        if self.must_probe(now) {
+        if self.backend.present().is_some() && self.doubt.must_probe(now) {
             actions.push(Action::Probe);
         }
         actions.extend(self.announcements(now));
@@ -413,89 +377,13 @@
         }
     }
 
-    fn decide(&mut self, segment: &Segment, carry: &Carry, now: Instant) -> Result<Step, Reason> {
-        if segment.flags.syn && segment.flags.ack {
-            // Only backend servers send these.
-            return Ok(Step::Dropped);
-        }
-        let entry = self.flows.get(segment.flow).copied();
-        if segment.is_opener() {
-            return match entry.map(|entry| entry.state) {
-                Some(State::Opening(_)) => Ok(Step::Known),
-                // A late copy of the opener says nothing to a flow that is open.
-                Some(State::Open) => Ok(Step::Dropped),
-                Some(State::Closed) | None => self.admit(segment.flow, carry, now),
-            };
-        }
-        if entry.is_some_and(|entry| entry.fits(segment)) {
-            return Ok(Step::Known);
-        }
-        if self.ended.contains_key(&segment.flow) {
-            return Err(Reason::Ended);
-        }
-        if entry.is_none() && !self.backend.is_certain() {
-            return Ok(Step::Tried);
-        }
-        Err(Reason::NotHeld)
-    }
-
-    /// Openers a second that the backend server bears while it is cold.
-    fn cold_rate(&self) -> Option<f64> {
-        if self.limits.known {
-            self.limits.cold_rate
-        } else {
-            Some(self.settings.cold_rate)
-        }
-    }
-
-    fn admit(&mut self, flow: Flow, carry: &Carry, now: Instant) -> Result<Step, Reason> {
-        let Some(present) = self.backend.present() else {
-            return Err(Reason::Unready);
-        };
-        if carry.service != self.service {
-            return Err(Reason::OtherService);
-        }
-        if present.is_draining() {
-            return Err(Reason::Draining);
-        }
-        if self.limits.out {
-            return Err(Reason::DomainOut);
-        }
-        if self.shedding.rejects(now) {
-            return Err(Reason::Shed);
-        }
-        let (slots, cold) = (present.slots, present.is_cold(now));
-        let connections = self.limits.connections.map(|limit| limit as usize);
-        if self.flows.len() >= connections.unwrap_or(self.settings.flows) {
-            return Err(Reason::Full);
-        }
-        let queue = if carry.trail.queues {
-            slots.saturating_mul(self.settings.queue)
-        } else {
-            slots
-        };
-        if self.flows.busy() >= queue {
-            return Err(Reason::Busy);
-        }
-        if cold {
-            let rate = self.cold_rate();
-            if self.warmup.left(rate, now) == 0 {
-                return Err(Reason::Cold);
-            }
-        }
-        // Openers count before the backend server is cold too: it may turn cold unannounced.
-        self.warmup.take(now);
-        self.flows.admit(flow, now);
-        Ok(Step::Admitted)
-    }
-
     /// Forgets the flows of a backend server that has ended, but for the fact that it held them.
     fn end_flows(&mut self, now: Instant) {
         for flow in self.flows.clear(now) {
             self.end_flow(flow, now);
         }
         self.pending = Pending::default();
-        self.shedding = Shedding::default();
+        self.doubt = Doubt::default();
     }
 
     /// Remembers that a flow was held here and has ended.
@@ -504,37 +392,4 @@
             self.ended.insert(flow, now);
         }
     }
-
-    fn handed_over(&mut self, now: Instant) {
-        self.silence.since.get_or_insert(now);
-    }
-
-    fn must_probe(&mut self, now: Instant) -> bool {
-        let silent = self
-            .silence
-            .since
-            .is_some_and(|at| now.since(at) >= SILENCE)
-            || self.shedding.count > 0;
-        let paused = self
-            .silence
-            .probed
-            .is_none_or(|at| now.since(at) >= PROBE_PAUSE);
-        let probe = silent && paused && self.backend.present().is_some();
-        if probe {
-            self.silence.probed = Some(now);
-        }
-        probe
-    }
-}
-
-/// What becomes of a packet that isn't returned.
-enum Step {
-    /// Its flow is held here.
-    Known,
-    /// It opens a flow here.
-    Admitted,
-    /// The backend server is asked whether it holds the flow.
-    Tried,
-    /// It is dropped.
-    Dropped,
 }
--- a/crates/lavenderseam_passthrough/src/balancer/mod.rs
+++ b/crates/lavenderseam_passthrough/src/balancer/mod.rs
@@ -10,8 +10,10 @@
 //! server that held the flow has ended. Everything else is left to the caller's retransmission.
 
 mod cache;
+mod opening;
 mod peers;
 mod routes;
+mod search;
 mod settings;
 mod targets;
 mod verdict;
@@ -25,8 +27,8 @@
 use crate::desired::{Desired, Outs, Roster};
 use crate::flow::Flow;
 use crate::message::{
-    Announcement, Carry, Gossip, Held, Known, Reason, Returned, ServiceTag, Standing, TRAIL_LIMIT,
-    Tag, Trail, Welcome,
+    Announcement, Carry, Gossip, Held, Known, Reason, Returned, ServiceTag, TRAIL_LIMIT, Tag,
+    Trail, Welcome,
 };
 use crate::segment::Segment;
 use cache::{Cache, Line, State};
@@ -34,7 +36,7 @@
 use routes::Routes;
 pub use settings::Settings;
 pub use targets::Tally;
-use targets::{Change, Request, Targets};
+use targets::{Change, Targets};
 pub use verdict::{Cause, Verdict};
 
 /// Time between two ticks that means that the process stood still, so what it knows is old.
@@ -164,7 +166,7 @@
         if segment.is_opener() {
             self.choose(segment, trail, now)
         } else {
-            self.search(segment, trail, now)
+            self.search(segment, &trail, now)
         }
     }
 
@@ -339,260 +341,6 @@
         own.chain(self.peers.all()).collect()
     }
 
-    fn opener(&mut self, segment: &Segment, now: Instant) -> Verdict {
-        if let Some(verdict) = self.repeated(segment, now) {
-            return verdict;
-        }
-        self.choose(segment, Trail::default(), now)
-    }
-
-    /// Sends a repeated opener to the same target, unless that one doesn't answer.
-    fn repeated(&mut self, segment: &Segment, now: Instant) -> Option<Verdict> {
-        let line = self.cache.get(segment.flow)?;
-        let service = self.routes.service(segment.flow)?;
-        let target = self.targets.get_mut(line.tag)?;
-        let open = target.standing == Standing::Ready || line.state == State::Confirmed;
-        if target.service != service || !open {
-            return None;
-        }
-        if line.state != State::Confirmed && target.repeated(&self.settings, now) {
-            return None;
-        }
-        self.forward(line.tag, service, Trail::default(), false)
-    }
-
-    /// Sends an opener to the best target that it hasn't been at.
-    fn choose(&mut self, segment: &Segment, mut trail: Trail, now: Instant) -> Verdict {
-        let Some(service) = self.routes.service(segment.flow) else {
-            return Verdict::Reset(Cause::NoRoute);
-        };
-        let mut choice = self.next(segment, service, &trail, now);
-        if choice.is_none() && !trail.queues {
-            trail.queues = true;
-            trail.busy.clear();
-            choice = self.next(segment, service, &trail, now);
-        }
-        let Some(choice) = choice else {
-            return self.refuse(segment, service, &trail, now);
-        };
-        if choice.doubtful && !trail.queues {
-            // A target that answers is better, even if the flow has to wait there.
-            let mut waits = trail.clone();
-            waits.queues = true;
-            waits.busy.clear();
-            if let Some(choice) = self.best(segment, service, &waits, now) {
-                return self.open(segment, service, choice.tag, waits, now);
-            }
-        }
-        self.open(segment, service, choice.tag, trail, now)
-    }
-
-    /// The best target for an opener that hasn't been tried often enough.
-    fn next(
-        &self,
-        segment: &Segment,
-        service: ServiceTag,
-        trail: &Trail,
-        now: Instant,
-    ) -> Option<targets::Choice> {
-        if trail.busy.len() >= self.settings.tries {
-            return None;
-        }
-        self.best(segment, service, trail, now)
-    }
-
-    fn best(
-        &self,
-        segment: &Segment,
-        service: ServiceTag,
-        trail: &Trail,
-        now: Instant,
-    ) -> Option<targets::Choice> {
-        let request = Request {
-            flow: segment.flow,
-            service,
-            trail,
-            domain: &self.place.domain,
-        };
-        let is_out = |domain: &str| self.outs.domains.contains(domain);
-        self.targets.choose(&request, &self.settings, is_out, now)
-    }
-
-    fn open(
-        &mut self,
-        segment: &Segment,
-        service: ServiceTag,
-        tag: Tag,
-        trail: Trail,
-        now: Instant,
-    ) -> Verdict {
-        if let Some(target) = self.targets.get_mut(tag) {
-            target.opened(&self.settings, now);
-        }
-        let line = Line {
-            tag,
-            state: State::Opening,
-            since: now,
-        };
-        self.cache.insert(segment.flow, line, now);
-        let asks = !trail.is_empty();
-        self.forward(tag, service, trail, asks)
-            .unwrap_or(Verdict::Drop(Cause::NoTarget))
-    }
-
-    /// Tells the caller that no target takes its flow, if that is certain.
-    ///
-    /// A target that doesn't answer may hold the flow since an earlier copy. While targets may
-    /// still announce themselves, the caller's next copy may find one.
-    fn refuse(
-        &mut self,
-        segment: &Segment,
-        service: ServiceTag,
-        trail: &Trail,
-        now: Instant,
-    ) -> Verdict {
-        self.cache.remove(segment.flow);
-        let of_service = |target: &&targets::Target| target.service == service;
-        let mut targets = self.targets.iter().filter(of_service);
-        let ready = targets
-            .clone()
-            .any(|target| target.standing == Standing::Ready);
-        let unknown = targets
-            .clone()
-            .any(|target| target.standing == Standing::Unknown);
-        if !self.has_settled(now) || (!ready && unknown) {
-            return Verdict::Drop(Cause::NotHeard);
-        }
-        if !ready {
-            return Verdict::Reset(Cause::NoTarget);
-        }
-        let unheard = |target: &targets::Target| {
-            target.standing != Standing::Ended && !trail.visited(target.tag)
-        };
-        if segment.is_repeated_opener() && targets.any(unheard) {
-            return Verdict::Drop(Cause::Unanswered);
-        }
-        Verdict::Reset(Cause::AllRefused)
-    }
-
-    fn continuing(&mut self, segment: &Segment, now: Instant) -> Verdict {
-        let Some(line) = self.cache.get(segment.flow) else {
-            return self.search(segment, Trail::default(), now);
-        };
-        let Some(target) = self.targets.get_mut(line.tag) else {
-            return self.search(segment, Trail::default(), now);
-        };
-        let service = target.service;
-        match line.state {
-            State::Confirmed => {}
-            State::Opening => {
-                // The caller answers what the target sent, so the target has answered.
-                target.answered(now);
-                let state = State::Confirmed;
-                self.cache.insert(segment.flow, Line { state, ..line }, now);
-            }
-            State::Searching => {
-                if now.since(line.since) >= self.settings.silence {
-                    let trail = Trail {
-                        silent: vec![line.tag],
-                        ..Trail::default()
-                    };
-                    return self.search(segment, trail, now);
-                }
-            }
-        }
-        let asks = line.state == State::Searching;
-        self.forward(line.tag, service, Trail::default(), asks)
-            .unwrap_or(Verdict::Drop(Cause::NoTarget))
-    }
-
-    /// Tries the next target that may hold a flow.
-    fn search(&mut self, segment: &Segment, trail: Trail, now: Instant) -> Verdict {
-        // Another packet of the flow may have found the owner meanwhile.
-        if let Some(line) = self.cache.get(segment.flow)
-            && !trail.visited(line.tag)
-            && let Some(service) = self.targets.get(line.tag).map(|target| target.service)
-            && let Some(verdict) = self.forward(line.tag, service, trail.clone(), true)
-        {
-            return verdict;
-        }
-        if let Some(verdict) = self.try_holder(segment, &trail, now) {
-            return verdict;
-        }
-        // A target that was silent before is asked again once all others have denied the flow.
-        if let Some(trail) = self.without_silent(&trail, now)
-            && let Some(verdict) = self.try_holder(segment, &trail, now)
-        {
-            return verdict;
-        }
-        self.cache.remove(segment.flow);
-        if self.is_certainly_unowned(segment, &trail, now) {
-            return Verdict::Reset(Cause::Unowned);
-        }
-        Verdict::Drop(Cause::Unowned)
-    }
-
-    /// Sends a packet to the next target that may hold its flow.
-    fn try_holder(&mut self, segment: &Segment, trail: &Trail, now: Instant) -> Option<Verdict> {
-        let holders = self.routes.holders(segment.flow);
-        let next = holders.into_iter().find_map(|service| {
-            let request = Request {
-                flow: segment.flow,
-                service,
-                trail,
-                domain: &self.place.domain,
-            };
-            let tag = self.targets.holder(&request, &self.settings, now)?;
-            Some((service, tag))
-        });
-        let (service, tag) = next?;
-        let line = Line {
-            tag,
-            state: State::Searching,
-            since: now,
-        };
-        self.cache.insert(segment.flow, line, now);
-        self.forward(tag, service, trail.clone(), true)
-    }
-
-    /// The trail without the silent targets that are heard now; none if there are none.
-    fn without_silent(&self, trail: &Trail, now: Instant) -> Option<Trail> {
-        let heard = |tag: &Tag| {
-            let target = self.targets.get(*tag);
-            target.is_some_and(|target| !target.is_doubtful(&self.settings, now))
-        };
-        let mut rest = trail.clone();
-        rest.silent.retain(|tag| !heard(tag));
-        (rest.silent.len() < trail.silent.len()).then_some(rest)
-    }
-
-    /// Whether nobody holds a flow: every target has said so, and none may be unknown here.
-    fn is_certainly_unowned(&self, segment: &Segment, trail: &Trail, now: Instant) -> bool {
-        let holders = self.routes.holders(segment.flow);
-        let denies = |target: &targets::Target| {
-            let doubtful = target.is_doubtful(&self.settings, now);
-            let denied = trail.refused.contains(&target.tag) && !doubtful;
-            denied || (doubtful && target.standing == Standing::Ended)
-        };
-        let mut targets = self
-            .targets
-            .iter()
-            .filter(|target| holders.contains(&target.service));
-        self.has_settled(now) && !segment.flags.rst && !holders.is_empty() && targets.all(denies)
-    }
-
-    /// Whether every target is known: the process has run for a while, and another balancer has
-    /// said since that it knows the same ones.
-    fn has_settled(&self, now: Instant) -> bool {
-        let Some(started) = self.started else {
-            return false;
-        };
-        let agreed = self.peers.agreed().is_some_and(|agreed| agreed >= started);
-        let ran = now.since(started);
-        (agreed && ran >= self.settings.settled)
-            || (self.peers.is_empty() && ran >= self.settings.alone)
-    }
-
     /// The backend server that held the flow has ended.
     fn ended(&mut self, segment: &Segment) -> Verdict {
         self.cache.remove(segment.flow);
