Measure how long requests wait for their answers

Cause: the histogram of answers was on the metrics page and nothing filled it. Change: an agent reports the wait with the first packet of an answer. Conclusion: no decision rests on it.

--- a/crates/lavenderseam_node/src/agent/work.rs
+++ b/crates/lavenderseam_node/src/agent/work.rs
@@ -282,7 +282,10 @@
             agent.outbound(segment, packet.bounced, now)
         };
         match outbound {
-            Outbound::Caller => {
+            Outbound::Caller { waited } => {
+                if let Some(waited) = waited {
+                    self.metrics.answer_seconds.0.observe(waited.as_secs_f64());
+                }
                 let caller = self.codec.caller(segment);
                 if let Err(error) = self.packets.send_to(bytes, caller) {
                     self.socket_failed("packets", &error);
--- a/crates/lavenderseam_node/src/metrics.rs
+++ b/crates/lavenderseam_node/src/metrics.rs
@@ -63,7 +63,7 @@
     pub busy: Gauge,
     /// Time of a call to the store other than a watch, in seconds.
     pub store_seconds: Latency,
-    /// Time until the backend server answered the first data of a flow, in seconds.
+    /// Time until the backend server answered a request, in seconds.
     pub answer_seconds: Latency,
 }
 
--- a/crates/lavenderseam_passthrough/src/agent/flows.rs
+++ b/crates/lavenderseam_passthrough/src/agent/flows.rs
@@ -106,17 +106,19 @@
         self.settle(segment.flow);
     }
 
-    /// Notes a packet of the backend server.
-    pub(crate) fn take_answer(&mut self, segment: &Segment, now: Instant) {
+    /// Notes a packet of the backend server; returns how long a request waited if it answers one.
+    pub(crate) fn take_answer(&mut self, segment: &Segment, now: Instant) -> Option<Duration> {
         self.count(now);
-        let Some(entry) = self.table.get_mut(&segment.flow) else {
-            return;
-        };
+        let entry = self.table.get_mut(&segment.flow)?;
         entry.used = now;
         if segment.flags.syn && matches!(entry.state, State::Opening(_)) {
             entry.state = State::Opening(Some(segment.sequence));
         }
-        if segment.length > 0 && entry.waiting.take().is_some() {
+        let mut waited = None;
+        if segment.length > 0
+            && let Some(since) = entry.waiting.take()
+        {
+            waited = Some(now.since(since));
             self.busy = self.busy.saturating_sub(1);
         }
         entry.backend_closed |= segment.flags.fin;
@@ -124,6 +126,7 @@
             entry.state = State::Closed;
         }
         self.settle(segment.flow);
+        waited
     }
 
     /// Forgets a flow.
--- a/crates/lavenderseam_passthrough/src/agent/mod.rs
+++ b/crates/lavenderseam_passthrough/src/agent/mod.rs
@@ -19,6 +19,7 @@
 mod warmup;
 
 use std::net::SocketAddrV4;
+use std::time::Duration;
 
 use lavenderseam_core::catalog::Revision;
 use lavenderseam_core::time::Instant;
@@ -69,7 +70,10 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Outbound {
     /// The caller gets it.
-    Caller,
+    Caller {
+        /// How long its request waited, if it is the first of an answer.
+        waited: Option<Duration>,
+    },
     /// It was bounced and goes back to a balancer.
     Return {
         /// The balancer.
@@ -199,8 +203,8 @@
             if self.flows.get(segment.flow).is_none() {
                 self.flows.find(segment.flow, now);
             }
-            self.flows.take_answer(segment, now);
-            return Outbound::Caller;
+            let waited = self.flows.take_answer(segment, now);
+            return Outbound::Caller { waited };
         };
         self.doubt.answered();
         let reason = self.bounced(segment, now);
--- a/crates/lavenderseam_passthrough/tests/agent.rs
+++ b/crates/lavenderseam_passthrough/tests/agent.rs
@@ -170,7 +170,9 @@
     let mut agent = agent();
     open(&mut agent, 1, at(0));
     expect_that!(agent.load(at(1)).busy, eq(1));
-    agent.outbound(&answer(1), None, at(300));
+    let answered = agent.outbound(&answer(1), None, at(300));
+    let waited = Some(Duration::from_millis(300));
+    expect_that!(answered, eq(&Outbound::Caller { waited }));
     expect_that!(agent.load(at(300)).busy, eq(0));
     // The copy was on its way when the answer came.
     agent.carried(&request(1, 1), carry(), BALANCER, at(301));
--- a/crates/lavenderseam_passthrough/tests/world/network.rs
+++ b/crates/lavenderseam_passthrough/tests/world/network.rs
@@ -132,7 +132,7 @@
             return;
         };
         match agent.outbound(segment, bounced, now) {
-            Outbound::Caller => self.at(CALLER, Event::ToCaller(*segment)),
+            Outbound::Caller { .. } => self.at(CALLER, Event::ToCaller(*segment)),
             Outbound::Return { balancer, returned } => {
                 self.give_back(own, balancer, returned, *segment);
             }
