--- a/crates/lavenderseam_node/src/balancer/records.rs
+++ b/crates/lavenderseam_node/src/balancer/records.rs
@@ -107,7 +107,9 @@
     fn take_outs(&self, outs: Outs, source: Source) {
         let revision = outs.revision;
         let domains = outs.domains.iter().cloned().collect();
-        if self.balancer.borrow_mut().take_outs(outs) {
+        // A later list of the same failure domains is newer and changes nothing.
+        let changes = self.balancer.borrow().outs().domains != outs.domains;
+        if self.balancer.borrow_mut().take_outs(outs) && changes {
             self.log(&Event::Outs {
                 revision,
                 domains,
