Say of an open flow only that it ended with its backend server

Cause, found by replaying the model's steps against the real agents (conformance, drawn sequences): copies of an opener reached two targets, the caller followed one, and the other one's backend server restarted; its agent then said that the flow had ended, and the balancer reset a flow that the first target held open. An agent that was restarted also took an answer to an opener for proof that the flow was open. Ruled out: the search (no balancer state is in the test). Change: only flows that the caller has answered are remembered as ended, an answer to an opener makes a half-open entry, and a new opener clears the memory.

--- a/crates/lavenderseam_passthrough/src/agent/admission.rs
+++ b/crates/lavenderseam_passthrough/src/agent/admission.rs
@@ -98,6 +98,7 @@
         }
         // Openers count before the backend server is cold too: it may turn cold unannounced.
         self.warmup.take(now);
+        self.ended.remove(&flow);
         self.flows.admit(flow, now);
         Ok(Step::Admitted)
     }
--- a/crates/lavenderseam_passthrough/src/agent/flows.rs
+++ b/crates/lavenderseam_passthrough/src/agent/flows.rs
@@ -68,17 +68,23 @@
         self.table.insert(flow, entry);
     }
 
-    /// Notes a flow that the backend server turns out to hold.
-    pub(crate) fn find(&mut self, flow: Flow, now: Instant) {
+    /// Notes a flow that the backend server turns out to hold, by a packet that it sent.
+    pub(crate) fn find(&mut self, segment: &Segment, now: Instant) {
+        // An answer to an opener doesn't say whether the caller follows it.
+        let state = if segment.flags.syn {
+            State::Opening(Some(segment.sequence))
+        } else {
+            State::Open
+        };
         let entry = Entry {
-            state: State::Open,
+            state,
             waiting: None,
             requested: None,
             used: now,
             caller_closed: false,
             backend_closed: false,
         };
-        self.table.entry(flow).or_insert(entry);
+        self.table.entry(segment.flow).or_insert(entry);
     }
 
     /// Notes a packet of the caller.
@@ -139,14 +145,15 @@
         }
     }
 
-    /// Forgets all flows and returns those that were open.
+    /// Forgets all flows and returns those that were open; the caller of a half-open one may follow
+    /// another target.
     pub(crate) fn clear(&mut self, now: Instant) -> Vec<Flow> {
         self.count(now);
         self.busy = 0;
         let table = std::mem::take(&mut self.table);
         let open = table
             .into_iter()
-            .filter(|(_, entry)| entry.state != State::Closed);
+            .filter(|(_, entry)| entry.state == State::Open);
         open.map(|(flow, _)| flow).collect()
     }
 
--- a/crates/lavenderseam_passthrough/src/agent/mod.rs
+++ b/crates/lavenderseam_passthrough/src/agent/mod.rs
@@ -102,7 +102,7 @@
 }
 
 /// The decisions of one agent.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Agent {
     place: Place,
     service: ServiceTag,
@@ -201,7 +201,7 @@
         let Some(mark) = bounced else {
             self.doubt.sent();
             if self.flows.get(segment.flow).is_none() {
-                self.flows.find(segment.flow, now);
+                self.flows.find(segment, now);
             }
             let waited = self.flows.take_answer(segment, now);
             return Outbound::Caller { waited };
--- a/model/passthrough.pml
+++ b/model/passthrough.pml
@@ -13,6 +13,7 @@
  *   MUTANT_BLIND_RESTART  a restarted agent denies flows that it doesn't know
  *   MUTANT_FIRST_DENIAL   a balancer resets a flow at the first denial
  *   MUTANT_PARTIAL_VIEW   a balancer that doesn't know all targets resets a flow
+ *   MUTANT_ENDED_HALF     an agent says of a half-open flow that it ended with its backend server
  */
 
 #define AGENTS 2
@@ -39,6 +40,7 @@
 /* Agents. */
 byte knows[AGENTS];     /* state of the flow as the agent sees it */
 byte sees[AGENTS];      /* number that its backend server answered with */
+bool ended[AGENTS];     /* the flow has ended with a run of the backend server */
 bool certain[AGENTS] = true;   /* whether it has seen all flows of its backend server */
 
 /* Backend servers. */
@@ -135,6 +137,7 @@
     :: else
     fi;
     take();
+    ended[agent] = false;
     put(answer, 0, holds_number[agent], 0);
     knows[agent] = half;
     sees[agent] = holds_number[agent]
@@ -188,8 +191,12 @@
             deny()
 #else
             if
-            :: certain[agent] -> deny()
-            :: !certain[agent] -> backend_takes()
+            :: ended[agent] ->
+                /* The caller is reset. */
+                assert(!(HELD && number[slot] == follows));
+                take()
+            :: certain[agent] && !ended[agent] -> deny()
+            :: !certain[agent] && !ended[agent] -> backend_takes()
             fi
 #endif
         fi
@@ -245,6 +252,7 @@
             any_agent();
             knows[agent] = free;
             sees[agent] = 0;
+            ended[agent] = false;
             certain[agent] = false
        }
     :: atomic {
@@ -253,6 +261,11 @@
             any_agent();
             holds[agent] = free;
             holds_number[agent] = 0;
+#ifdef MUTANT_ENDED_HALF
+            ended[agent] = ended[agent] || knows[agent] != free;
+#else
+            ended[agent] = ended[agent] || knows[agent] == open;
+#endif
             knows[agent] = free;
             sees[agent] = 0;
             certain[agent] = true
