Give little to targets that answer far sooner than the others

Ruled out: health checks (they succeed there) and loads (they were right). Change: agents tell the mean wait of their last answers; a target that answers more than eight times sooner than the typical one gets one flow in 64, unless a third of them is that fast.

--- a/crates/lavenderseam_node/src/balancer/work.rs
+++ b/crates/lavenderseam_node/src/balancer/work.rs
@@ -257,6 +257,7 @@
                 let own = Rc::clone(self);
                 tokio::task::spawn_local(async move { records::fetch(&own, rpc).await });
             }
+            Action::Greet { agent, welcome } => self.send(&Message::Welcome(welcome), &[], agent),
             Action::Forgot { agent } => self.log(&Event::Forgot { agent }),
         }
     }
--- a/crates/lavenderseam_passthrough/src/agent/balancers.rs
+++ b/crates/lavenderseam_passthrough/src/agent/balancers.rs
@@ -14,6 +14,19 @@
     /// Whether it was ever heard.
     answers: bool,
     announced: Option<Instant>,
+    /// When it was last asked for the balancers that it knows.
+    asked: Option<Instant>,
+}
+
+/// An announcement that is due.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Due {
+    /// The balancer.
+    pub(crate) to: SocketAddrV4,
+    /// Whether it was heard lately.
+    pub(crate) hears: bool,
+    /// Whether it is asked for the balancers that it knows.
+    pub(crate) asks: bool,
 }
 
 /// The balancers known.
@@ -38,6 +51,7 @@
             heard: now,
             answers: false,
             announced: None,
+            asked: None,
         });
     }
 
@@ -54,14 +68,8 @@
         }
     }
 
-    /// The balancers that are due for an announcement, all of them if `all`, and whether each was
-    /// heard lately.
-    pub(crate) fn due(
-        &mut self,
-        settings: &Settings,
-        all: bool,
-        now: Instant,
-    ) -> Vec<(SocketAddrV4, bool)> {
+    /// The announcements that are due; one to each balancer if `all`.
+    pub(crate) fn due(&mut self, settings: &Settings, all: bool, now: Instant) -> Vec<Due> {
         self.known
             .retain(|_, balancer| now.since(balancer.heard) < settings.forget);
         let mut due = Vec::new();
@@ -75,7 +83,19 @@
             let waited = balancer.announced.is_none_or(|at| now.since(at) >= period);
             if waited || (all && !quiet) {
                 balancer.announced = Some(now);
-                due.push((*address, balancer.hears(settings, now)));
+                let hears = balancer.hears(settings, now);
+                let asks = !hears
+                    || balancer
+                        .asked
+                        .is_none_or(|at| now.since(at) >= settings.ask);
+                if asks && hears {
+                    balancer.asked = Some(now);
+                }
+                due.push(Due {
+                    to: *address,
+                    hears,
+                    asks,
+                });
             }
         }
         due
--- a/crates/lavenderseam_passthrough/src/agent/flows.rs
+++ b/crates/lavenderseam_passthrough/src/agent/flows.rs
@@ -100,8 +100,8 @@
         // A request that was sent again may cross its answer, and isn't answered twice.
         if entry.state == State::Open && segment.has_new_data(entry.requested) {
             entry.requested = Some(segment.end());
-            if entry.waiting.is_none() {
-                entry.waiting = Some(now);
+            // The opener of the flow may have counted as work already.
+            if entry.waiting.replace(now).is_none() {
                 self.busy += 1;
             }
         }
--- a/crates/lavenderseam_passthrough/src/agent/mod.rs
+++ b/crates/lavenderseam_passthrough/src/agent/mod.rs
@@ -16,6 +16,7 @@
 mod flows;
 mod pending;
 mod settings;
+mod waits;
 mod warmup;
 
 use std::net::SocketAddrV4;
@@ -32,11 +33,12 @@
 use admission::Step;
 use backend::Backend;
 pub use backend::{Beat, Heartbeat, Rejection};
-use balancers::Balancers;
+use balancers::{Balancers, Due};
 use doubt::Doubt;
 use flows::{Flows, State};
 use pending::Pending;
 pub use settings::Settings;
+use waits::Waits;
 use warmup::Warmup;
 
 /// Which target an agent stands beside.
@@ -118,6 +120,7 @@
     /// Whether all balancers must be told at once.
     urgent: bool,
     doubt: Doubt,
+    waits: Waits,
 }
 
 /// What balancers said of the service.
@@ -156,6 +159,7 @@
             count: 0,
             urgent: false,
             doubt: Doubt::default(),
+            waits: Waits::default(),
         }
     }
 
@@ -204,6 +208,9 @@
                 self.flows.find(segment, now);
             }
             let waited = self.flows.take_answer(segment, now);
+            if let Some(waited) = waited {
+                self.waits.note(waited);
+            }
             return Outbound::Caller { waited };
         };
         self.doubt.answered();
@@ -268,6 +275,7 @@
                 self.urgent = true;
                 self.warmup.clear();
                 self.doubt = Doubt::default();
+                self.waits = Waits::default();
             }
         }
         Ok(taken)
@@ -348,11 +356,13 @@
             standing: self.standing(),
             load: self.load(now),
             hears: false,
+            asks: false,
         };
-        let announce = |(to, hears)| Action::Announce {
-            to,
+        let announce = |due: Due| Action::Announce {
+            to: due.to,
             announcement: Announcement {
-                hears,
+                hears: due.hears,
+                asks: due.asks,
                 ..announcement.clone()
             },
         };
@@ -377,6 +387,7 @@
             mean: self.flows.mean(now),
             slots,
             flows: u32::try_from(self.flows.len()).unwrap_or(u32::MAX),
+            wait: self.waits.mean(),
             cold,
         }
     }
--- a/crates/lavenderseam_passthrough/src/agent/settings.rs
+++ b/crates/lavenderseam_passthrough/src/agent/settings.rs
@@ -16,6 +16,9 @@
     /// How long ago a balancer was heard at most for the agent to say that it hears it: three
     /// answers to announcements.
     pub hears: Duration,
+    /// Time between two questions for the balancers that a balancer knows: new ones greet the
+    /// agents themselves.
+    pub ask: Duration,
     /// How long the agent may be without any balancer before it looks them up in the store.
     pub alone: Duration,
     /// How long an opened flow may wait for the caller: callers give an opener up after 1.4 s.
@@ -51,6 +54,7 @@
             quiet: Duration::from_secs(10),
             forget: Duration::from_secs(120),
             hears: Duration::from_millis(1_300),
+            ask: Duration::from_secs(5),
             alone: Duration::from_millis(1_500),
             embryonic: Duration::from_millis(2_000),
             opening: Duration::from_millis(300),
--- a/crates/lavenderseam_passthrough/src/balancer/mod.rs
+++ b/crates/lavenderseam_passthrough/src/balancer/mod.rs
@@ -54,7 +54,7 @@
 }
 
 /// What a balancer is to do as time passes.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub enum Action {
     /// Send gossip.
     Gossip {
@@ -68,6 +68,13 @@
         /// Its address for remote calls.
         rpc: SocketAddrV4,
     },
+    /// Tell an agent of this balancer.
+    Greet {
+        /// The agent.
+        agent: SocketAddrV4,
+        /// What it is told.
+        welcome: Welcome,
+    },
     /// An agent has been silent for long and is forgotten.
     Forgot {
         /// Its address.
@@ -192,17 +199,10 @@
         now: Instant,
     ) -> Announced {
         let change = self.targets.announced(agent, announcement, now);
-        let desired = self.desired.as_ref();
-        let service = desired.and_then(|desired| desired.services.get(&announcement.service));
-        let welcome = Welcome {
-            balancers: self.balancers(),
-            revision: self.revision(),
-            known: service.is_some(),
-            outs: self.outs.revision,
-            out: self.outs.domains.contains(&announcement.domain),
-            cold_rate: service.and_then(|service| service.cold_rate),
-            connections: service.and_then(|service| service.connections),
-        };
+        let mut welcome = self.welcome(&announcement.service, &announcement.domain);
+        if announcement.asks {
+            welcome.balancers = self.balancers();
+        }
         Announced {
             welcome,
             changed: change == Change::Changed,
@@ -273,6 +273,7 @@
             .collect();
         if now.since(self.gossiped) >= self.settings.gossip {
             self.gossiped = now;
+            actions.extend(self.greetings());
             let gossip = self.gossip();
             for to in self.peers.round(now) {
                 let gossip = gossip.clone();
@@ -320,6 +321,31 @@
         self.cache.len()
     }
 
+    /// What an agent is told, without the balancers.
+    fn welcome(&self, service: &str, domain: &str) -> Welcome {
+        let desired = self.desired.as_ref();
+        let service = desired.and_then(|desired| desired.services.get(service));
+        Welcome {
+            balancers: Vec::new(),
+            revision: self.revision(),
+            known: service.is_some(),
+            outs: self.outs.revision,
+            out: self.outs.domains.contains(domain),
+            cold_rate: service.and_then(|service| service.cold_rate),
+            connections: service.and_then(|service| service.connections),
+        }
+    }
+
+    /// Greetings to agents that only other balancers have heard, so that they learn of this one.
+    fn greetings(&self) -> Vec<Action> {
+        let unheard = self.targets.iter().filter(|target| target.is_unheard());
+        let greet = |target: &targets::Target| Action::Greet {
+            agent: target.agent,
+            welcome: self.welcome(target.service_name(), &target.domain),
+        };
+        unheard.map(greet).collect()
+    }
+
     fn revision(&self) -> Revision {
         self.desired
             .as_ref()
--- a/crates/lavenderseam_passthrough/src/balancer/settings.rs
+++ b/crates/lavenderseam_passthrough/src/balancer/settings.rs
@@ -30,6 +30,16 @@
     pub crossing: f32,
     /// Load in slots' share that a cold backend server counts as having.
     pub cold: f32,
+    /// Load in slots' share that a target counts as having if it answers far sooner than the
+    /// others of its service, which is how one that fails every request looks.
+    pub hasty: f32,
+    /// How many times sooner that is: work of one kind differs by less.
+    pub haste: u16,
+    /// Least typical wait at which it says anything, in tenths of a millisecond: below it, a
+    /// failure is hardly faster than an answer.
+    pub typical: u16,
+    /// One flow in so many goes to a hasty target as if it weren't, to see whether it still is.
+    pub trials: u64,
     /// Load in slots' share by which the rendezvous order of two targets decides between them, so
     /// that balancers with the same view don't all pick the same one.
     pub spread: f32,
@@ -65,6 +75,10 @@
             behind: Duration::from_millis(400),
             crossing: 0.35,
             cold: 0.5,
+            hasty: 3.0,
+            haste: 8,
+            typical: 80,
+            trials: 64,
             spread: 0.2,
             tries: 3,
             busy: Duration::from_millis(20),
--- a/crates/lavenderseam_passthrough/src/balancer/targets.rs
+++ b/crates/lavenderseam_passthrough/src/balancer/targets.rs
@@ -39,6 +39,8 @@
     count: u64,
     /// Whether its agent hears this balancer.
     hears: bool,
+    /// Whether it was heard here, and not only by another balancer.
+    heard_here: bool,
     /// The first opener that is still unanswered.
     unanswered: Option<Instant>,
     /// Set once openers stayed unanswered; unset by any sign of life.
@@ -58,6 +60,9 @@
     by_tag: BTreeMap<Tag, Target>,
 }
 
+/// Keeps the draw of a trial apart from the ranking of targets, which uses the same word.
+const TRIAL_SEED: u64 = 0x5452_4941_4c53;
+
 /// How an announcement changed what is known.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Change {
@@ -93,6 +98,7 @@
         held.run = announcement.run;
         held.count = announcement.count;
         held.hears = announcement.hears;
+        held.heard_here = true;
         held.service = service;
         held.name.clone_from(&announcement.service);
         held.standing = announcement.standing;
@@ -127,6 +133,7 @@
             // Nothing says that this balancer reaches the agent until it is heard here.
             let mut target = Target::new(other.agent, &other.announcement, heard);
             target.hears = held.is_some_and(|held| held.hears);
+            target.heard_here = held.is_some_and(|held| held.heard_here);
             target.silent = held.is_some_and(|held| held.silent);
             target.count = held.map_or(0, |held| held.count);
             self.by_tag.insert(tag, target);
@@ -181,6 +188,8 @@
         is_out: impl Fn(&str) -> bool,
         now: Instant,
     ) -> Option<Choice> {
+        let hasty = self.hasty(request.service, settings, now);
+        let trial = score(request.flow.word(), TRIAL_SEED).is_multiple_of(settings.trials);
         let mut best: Option<(bool, f32, Tag)> = None;
         for target in self.iter() {
             if target.service != request.service
@@ -193,7 +202,10 @@
                 continue;
             }
             let doubtful = target.is_doubtful(settings, now);
-            let cost = target.cost(request, settings, now);
+            let mut cost = target.cost(request, settings, now);
+            if !trial && hasty.contains(&target.tag) {
+                cost += settings.hasty;
+            }
             let better = best.is_none_or(|(best_doubtful, best_cost, _)| {
                 (doubtful, cost) < (best_doubtful, best_cost)
             });
@@ -204,6 +216,33 @@
         best.map(|(doubtful, _, tag)| Choice { tag, doubtful })
     }
 
+    /// The targets of a service that answer far sooner than the others.
+    ///
+    /// The pattern answered: a backend server that fails every request at once is the least busy
+    /// one, so it would be given most of them. Packets aren't read, so its haste is all that shows
+    /// it. If many are that fast, the others are slow, and none is set apart.
+    fn hasty(&self, service: ServiceTag, settings: &Settings, now: Instant) -> Vec<Tag> {
+        let ready = |target: &&Target| {
+            target.service == service
+                && target.standing == Standing::Ready
+                && !target.is_doubtful(settings, now)
+        };
+        let waits = self.iter().filter(ready);
+        let mut waits: Vec<(u16, Tag)> = waits
+            .filter_map(|target| Some((target.load.wait?, target.tag)))
+            .collect();
+        waits.sort_unstable();
+        let Some((typical, _)) = waits.get(waits.len() / 2).copied() else {
+            return Vec::new();
+        };
+        let limit = typical / settings.haste;
+        let count = waits.iter().take_while(|(wait, _)| *wait < limit).count();
+        if typical < settings.typical || count * 3 > waits.len() {
+            return Vec::new();
+        }
+        waits.into_iter().take(count).map(|(_, tag)| tag).collect()
+    }
+
     /// The targets of a service by what stands in the way of a new flow.
     pub(crate) fn tally(
         &self,
@@ -308,6 +347,7 @@
             run: announcement.run,
             count: announcement.count,
             hears: announcement.hears,
+            heard_here: true,
             unanswered: None,
             silent: false,
             busy: Instant::default(),
@@ -326,9 +366,20 @@
             standing: self.standing,
             load: self.load,
             hears: false,
+            asks: false,
         }
     }
 
+    /// Name of its service.
+    pub(crate) fn service_name(&self) -> &str {
+        &self.name
+    }
+
+    /// Whether only other balancers have heard it.
+    pub(crate) fn is_unheard(&self) -> bool {
+        !self.heard_here
+    }
+
     /// Takes a report of its load, which is also a sign of life.
     pub(crate) fn reported(&mut self, load: Load, now: Instant) {
         self.load = load;
--- a/crates/lavenderseam_passthrough/src/message.rs
+++ b/crates/lavenderseam_passthrough/src/message.rs
@@ -109,6 +109,8 @@
     pub slots: u16,
     /// Flows held.
     pub flows: u32,
+    /// Mean wait of its last answers, in tenths of a millisecond; none before it has given some.
+    pub wait: Option<u16>,
     /// Openers that a cold backend server still bears in this second; none if it is warm.
     pub cold: Option<u16>,
 }
@@ -157,12 +159,14 @@
     /// Whether the agent has lately heard the balancer that this goes to: packets may pass in one
     /// direction only.
     pub hears: bool,
+    /// Whether the agent wants to know the balancers.
+    pub asks: bool,
 }
 
 /// A balancer's answer to an announcement.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Welcome {
-    /// The balancers known.
+    /// The balancers known, if the agent asked for them.
     pub balancers: Vec<SocketAddrV4>,
     /// Revision of the desired state behind the fields below.
     pub revision: Revision,
--- a/crates/lavenderseam_passthrough/tests/flows.rs
+++ b/crates/lavenderseam_passthrough/tests/flows.rs
@@ -320,3 +320,19 @@
     expect_that!(world.callers[caller].attempts, eq(2));
     expect_that!(world.wrong_resets, is_empty());
 }
+
+#[gtest]
+fn agents_learn_of_a_new_balancer_at_once() {
+    // Agents ask for balancers every 5 s; the phase of that must not matter.
+    for phase in 0..8 {
+        let mut world = World::new(&["a", "b", "c"], &["a", "b", "c"], 4);
+        world.entries[2].balancer = None;
+        world.run_for(seconds(130) + milliseconds(phase * 700));
+        // The agents have forgotten it; it knows its peers, and they know the agents.
+        world.start_balancer(2);
+        world.run_for(milliseconds(2_000));
+        let now = world.instant();
+        let balancer = world.entries[2].balancer.as_ref().unwrap();
+        expect_that!(balancer.is_ready(now), eq(true));
+    }
+}
--- a/crates/lavenderseam_passthrough/tests/loads.rs
+++ b/crates/lavenderseam_passthrough/tests/loads.rs
@@ -199,3 +199,27 @@
         .count();
     expect_that!(late, le(6));
 }
+
+/// Two of eight targets fail every request within a millisecond, so they are always the least
+/// busy ones: they get less than their share, not more, and their share again once they work.
+#[gtest]
+fn targets_that_fail_fast_attract_no_load() {
+    let mut world = World::new(&["a"], &["a"; 8], 4);
+    world.load(0, 400, seconds(9), WORK);
+    world.run_for(seconds(2));
+    for node in 0..2 {
+        world.nodes[node].backend.fails = true;
+    }
+    world.run_for(seconds(3));
+    let failed: u64 = (0..2).map(|node| world.nodes[node].backend.failed).sum();
+    // A quarter of 1,200 would be their share.
+    expect_that!(failed, le(150));
+    for node in 0..2 {
+        world.nodes[node].backend.fails = false;
+    }
+    world.run_for(seconds(1));
+    let before: u64 = (0..2).map(|node| world.nodes[node].backend.ran).sum();
+    world.run_for(seconds(2));
+    let after: u64 = (0..2).map(|node| world.nodes[node].backend.ran).sum();
+    expect_that!(after - before, ge(100));
+}
--- a/crates/lavenderseam_passthrough/tests/messages.rs
+++ b/crates/lavenderseam_passthrough/tests/messages.rs
@@ -16,7 +16,7 @@
 
 prop_compose! {
     fn load()(busy in any::<u16>(), flows in any::<u32>(), cold in any::<Option<u16>>()) -> Load {
-        Load { busy, mean: busy, slots: 2, flows, cold }
+        Load { busy, mean: busy, slots: 2, flows, wait: cold, cold }
     }
 }
 
@@ -65,6 +65,7 @@
                 standing: Standing::Draining,
                 load,
                 hears,
+                asks: hears,
             })
         }),
     ]
--- a/crates/lavenderseam_passthrough/tests/world/backend.rs
+++ b/crates/lavenderseam_passthrough/tests/world/backend.rs
@@ -14,6 +14,8 @@
 /// How much longer its work takes while it is cold.
 const COLD: f64 = 1.6;
 const ANSWER: u16 = 600;
+/// Microseconds that a failure takes.
+const FAILURE: u64 = 500;
 
 #[derive(Clone, Copy, Debug)]
 struct Held {
@@ -34,6 +36,10 @@
     born: u64,
     beats: u64,
     pub draining: bool,
+    /// Fails every request at once.
+    pub fails: bool,
+    /// Requests that it failed.
+    pub failed: u64,
     warm: u64,
     flows: BTreeMap<Flow, Held>,
     running: usize,
@@ -54,6 +60,8 @@
             born: 0,
             beats: 0,
             draining: false,
+            fails: false,
+            failed: 0,
             warm: 0,
             flows: BTreeMap::new(),
             running: 0,
@@ -191,6 +199,8 @@
         let cold = if self.now < backend.warm { COLD } else { 1.0 };
         let boot = backend.boot;
         let work = work.mul_f64(cold).as_micros() as u64;
+        let work = if backend.fails { FAILURE } else { work };
+        backend.failed += u64::from(backend.fails);
         self.at(work, Event::Done(node, flow, boot));
     }
 
--- a/crates/lavenderseam_passthrough/tests/world/mod.rs
+++ b/crates/lavenderseam_passthrough/tests/world/mod.rs
@@ -328,6 +328,9 @@
                         self.send(from, to, Message::Gossip(gossip), None);
                     }
                     balancer::Action::Fetch { rpc } => self.fetch(index, rpc),
+                    balancer::Action::Greet { agent, welcome } => {
+                        self.send(from, agent, Message::Welcome(welcome), None);
+                    }
                     balancer::Action::Forgot { .. } => {}
                 }
             }
