Share what balancers and agents run with, and type the reload's error

Change: process::Process holds clock, log, metrics and messages; reload is generic over its error; one target has a file of its own. Conclusion: no change of behaviour, but that a malformed message is told without the word for its socket.

--- a/crates/lavenderseam_node/src/agent/mod.rs
+++ b/crates/lavenderseam_node/src/agent/mod.rs
@@ -3,30 +3,24 @@
 mod work;
 
 use std::cell::{Cell, RefCell};
+use std::error::Error;
+use std::fmt::Display;
 use std::io;
 use std::net::SocketAddrV4;
 use std::rc::Rc;
-use std::time::Duration;
 
 use lavenderseam_passthrough::agent::{Agent, Heartbeat, Place};
 use rand::TryRng;
 use rand::rngs::SysRng;
 
-use crate::clock::Clock;
 use crate::codec::Codec;
 use crate::http::{self, Service};
-use crate::log::{Event, Log};
-use crate::metrics::Metrics;
-use crate::peer::Peers;
+use crate::log::Event;
+use crate::process::{Process, RELOAD, TICK};
 use crate::socket::Socket;
 use crate::stop::{Request, Requests};
 use work::Work;
 
-/// Time between two ticks of the decisions.
-const TICK: Duration = Duration::from_millis(100);
-/// Time between two searches for a change of the settings that no signal told.
-const RELOAD: Duration = Duration::from_secs(2);
-
 /// Where an agent listens, and whom it knows.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Settings {
@@ -63,7 +57,7 @@
 /// Finds balancers when none answers.
 pub trait Directory: 'static {
     /// Why they can't be found.
-    type Error: std::error::Error;
+    type Error: Error;
 
     /// The balancers that have registered.
     fn balancers(&self) -> impl Future<Output = Result<Vec<SocketAddrV4>, Self::Error>>;
@@ -77,7 +71,7 @@
 /// # Errors
 ///
 /// Fails if an address can't be listened on or signals can't be caught.
-pub async fn run<C, D, S, R>(
+pub async fn run<C, D, S, R, E>(
     settings: Settings,
     codec: C,
     directory: D,
@@ -88,7 +82,8 @@
     C: Codec,
     D: Directory,
     S: Service + 'static,
-    R: Fn() -> Option<Result<Vec<SocketAddrV4>, String>>,
+    R: Fn() -> Option<Result<Vec<SocketAddrV4>, E>>,
+    E: Error,
 {
     let mut requests = Requests::new()?;
     let place = Place {
@@ -99,25 +94,22 @@
     let any = SocketAddrV4::new(*settings.packets.ip(), 0);
     let work = Rc::new(Work {
         codec,
-        clock: Clock::new(),
+        process: Process::new(settings.name.clone(), settings.peers).await?,
         agent: RefCell::new(Agent::new(place)),
         packets: Socket::bind(settings.packets).await?,
-        peers: Peers::bind(settings.peers).await?,
         outbound: Socket::bind(settings.outbound).await?,
         backend: Socket::connect(any, settings.backend).await?,
         backend_address: settings.backend,
-        log: Log::new(settings.name.clone()),
-        metrics: Rc::new(Metrics::default()),
         probing: Cell::new(false),
     });
     http::serve(settings.ready, work::Ready).await?;
-    http::serve(settings.metrics, Rc::clone(&work.metrics)).await?;
+    http::serve(settings.metrics, Rc::clone(&work.process.metrics)).await?;
     let handle = Handle {
         work: Rc::clone(&work),
     };
     http::serve(settings.control, calls(handle)).await?;
     work.seed(&settings.seeds);
-    work.log(&Event::Start {
+    work.process.log(&Event::Start {
         role: "agent",
         domain: settings.domain,
         address: settings.peers,
@@ -137,11 +129,11 @@
         };
         match request {
             Request::Stop => break,
-            Request::Reload => work.reload(&reload),
+            Request::Reload => work.seed(&work.process.reloaded(reload())),
         }
     }
     // The flows end on this VM: the sooner the next run takes over, the fewer packets are lost.
-    work.log(&Event::Stop);
+    work.process.log(&Event::Stop);
     Ok(())
 }
 
@@ -157,8 +149,8 @@
     }
 
     /// Logs a call that can't be read.
-    pub fn unreadable(&self, error: &impl ToString) {
-        self.work.unreadable("backend", error);
+    pub fn unreadable(&self, error: &impl Display) {
+        self.work.process.unreadable("backend", error);
     }
 }
 
--- a/crates/lavenderseam_node/src/agent/work.rs
+++ b/crates/lavenderseam_node/src/agent/work.rs
@@ -13,12 +13,11 @@
 use tokio::net::TcpStream;
 
 use super::Directory;
-use crate::clock::Clock;
 use crate::codec::Codec;
 use crate::http::{Answer, Request, Service};
-use crate::log::{Change, Event, Key, Log};
-use crate::metrics::{ByReason, Metrics, Word};
-use crate::peer::{self, Peers};
+use crate::log::{Change, Event, Key};
+use crate::metrics::{ByReason, Word};
+use crate::process::Process;
 use crate::socket::Socket;
 
 /// Longest wait for a connection to the backend server, which is on the same VM.
@@ -28,15 +27,12 @@
 #[derive(Debug)]
 pub(crate) struct Work<C> {
     pub(crate) codec: C,
-    pub(crate) clock: Clock,
+    pub(crate) process: Process,
     pub(crate) agent: RefCell<Agent>,
     pub(crate) packets: Socket,
-    pub(crate) peers: Peers,
     pub(crate) outbound: Socket,
     pub(crate) backend: Socket,
     pub(crate) backend_address: SocketAddrV4,
-    pub(crate) log: Log,
-    pub(crate) metrics: Rc<Metrics>,
     pub(crate) probing: Cell<bool>,
 }
 
@@ -44,12 +40,8 @@
 pub(crate) struct Ready;
 
 impl<C: Codec> Work<C> {
-    pub(crate) fn log(&self, event: &Event) {
-        self.log.write(event, self.clock.now());
-    }
-
     pub(crate) fn seed(&self, seeds: &[SocketAddrV4]) {
-        let now = self.clock.now();
+        let now = self.process.clock.now();
         let mut agent = self.agent.borrow_mut();
         for seed in seeds {
             agent.seed(*seed, now);
@@ -58,20 +50,21 @@
 
     /// Takes messages of balancers as they come.
     pub(crate) async fn serve_peers(&self) {
-        self.peers
+        self.process
+            .peers
             .receive(|received| match received {
                 Ok((Message::Carry(carry), packet, from)) => self.carried(carry, packet, from),
                 Ok((Message::Welcome(welcome), _, from)) => {
-                    let now = self.clock.now();
+                    let now = self.process.clock.now();
                     self.agent.borrow_mut().welcomed(&welcome, from, now);
                 }
                 Ok((_, _, from)) => {
-                    self.unreadable(
+                    self.process.unreadable(
                         "process",
                         &format!("{from} takes this agent for a balancer"),
                     );
                 }
-                Err(error) => self.message_failed(&error),
+                Err(error) => self.process.message_failed(&error),
             })
             .await;
     }
@@ -81,7 +74,7 @@
         self.outbound
             .receive(|received| match received {
                 Ok((bytes, _)) => self.sent(bytes),
-                Err(error) => self.socket_failed("outbound", &error),
+                Err(error) => self.process.socket_failed("outbound", &error),
             })
             .await;
     }
@@ -94,7 +87,7 @@
                 Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => {
                     self.ended("port closed");
                 }
-                Err(error) => self.socket_failed("backend", &error),
+                Err(error) => self.process.socket_failed("backend", &error),
             })
             .await;
     }
@@ -104,12 +97,13 @@
         let directory = Rc::new(directory);
         loop {
             tokio::time::sleep(period).await;
-            let now = self.clock.now();
+            let now = self.process.clock.now();
             let actions = self.agent.borrow_mut().tick(now);
             for action in actions {
                 match action {
                     Action::Announce { to, announcement } => {
-                        self.send(&Message::Announcement(announcement), &[], to);
+                        self.process
+                            .send(&Message::Announcement(announcement), &[], to);
                     }
                     Action::FindBalancers => {
                         let (own, directory) = (Rc::clone(&self), Rc::clone(&directory));
@@ -124,27 +118,14 @@
                 }
             }
             let load = self.agent.borrow_mut().load(now);
-            self.metrics.flows.set(i64::from(load.flows));
-            self.metrics.busy.set(i64::from(load.busy));
-            self.log.flush(now);
+            self.process.metrics.flows.set(i64::from(load.flows));
+            self.process.metrics.busy.set(i64::from(load.busy));
+            self.process.log.flush(now);
         }
     }
 
-    pub(crate) fn reload(&self, read: &impl Fn() -> Option<Result<Vec<SocketAddrV4>, String>>) {
-        let error = match read() {
-            None => return,
-            Some(Ok(seeds)) => {
-                self.seed(&seeds);
-                None
-            }
-            Some(Err(error)) => Some(error),
-        };
-        let accepted = error.is_none();
-        self.log(&Event::Reload { accepted, error });
-    }
-
     pub(crate) fn heartbeat(&self, beat: &Heartbeat) -> bool {
-        let now = self.clock.now();
+        let now = self.process.clock.now();
         let taken = self.agent.borrow_mut().heartbeat(beat, now);
         let reason = match taken {
             Ok(Beat::Known) => return true,
@@ -152,11 +133,11 @@
             Ok(Beat::New { replaces: false }) => "started",
             Ok(Beat::New { replaces: true }) => "replaced",
             Err(rejection) => {
-                self.unreadable("backend", &rejection);
+                self.process.unreadable("backend", &rejection);
                 return false;
             }
         };
-        self.log(&Event::Backend {
+        self.process.log(&Event::Backend {
             id: beat.id.clone(),
             standing: self.agent.borrow().standing(),
             sequence: Some(beat.sequence),
@@ -167,29 +148,21 @@
     }
 
     pub(crate) fn departed(&self, id: &str) {
-        let now = self.clock.now();
+        let now = self.process.clock.now();
         if self.agent.borrow_mut().departed(id, now) {
             self.backend_ended(id, "departed");
         }
     }
 
-    pub(crate) fn unreadable(&self, source: &'static str, error: &impl ToString) {
-        self.metrics.malformed.inc();
-        self.log(&Event::Malformed {
-            source,
-            error: error.to_string(),
-        });
-    }
-
     fn ended(&self, reason: &'static str) {
-        let now = self.clock.now();
+        let now = self.process.clock.now();
         if self.agent.borrow_mut().refused(now) {
             self.backend_ended("", reason);
         }
     }
 
     fn backend_ended(&self, id: &str, reason: &'static str) {
-        self.log(&Event::Backend {
+        self.process.log(&Event::Backend {
             id: id.to_owned(),
             standing: self.agent.borrow().standing(),
             sequence: None,
@@ -199,24 +172,25 @@
     }
 
     fn announce(&self) {
-        let now = self.clock.now();
+        let now = self.process.clock.now();
         let actions = self.agent.borrow_mut().announcements(now);
         for action in actions {
             if let Action::Announce { to, announcement } = action {
-                self.send(&Message::Announcement(announcement), &[], to);
+                self.process
+                    .send(&Message::Announcement(announcement), &[], to);
             }
         }
     }
 
     fn carried(&self, carry: Carry, bytes: &mut [u8], balancer: SocketAddrV4) {
-        self.metrics.packets.inc();
-        let now = self.clock.now();
+        self.process.metrics.packets.inc();
+        let now = self.process.clock.now();
         let segment = match self.codec.read_from_caller(bytes) {
             Ok(packet) => packet.segment,
-            Err(error) => return self.unreadable("balancer", &error),
+            Err(error) => return self.process.unreadable("balancer", &error),
         };
         if segment.is_opener() {
-            self.metrics.openers.inc();
+            self.process.metrics.openers.inc();
         }
         let verdict = {
             let mut agent = self.agent.borrow_mut();
@@ -224,11 +198,11 @@
         };
         match verdict {
             Verdict::Deliver { mark, held } => {
-                self.metrics.forwarded.inc();
+                self.process.metrics.forwarded.inc();
                 self.codec.mark(bytes, mark);
                 self.deliver(bytes);
                 if let Some(held) = held {
-                    self.send(&Message::Held(held), &[], balancer);
+                    self.process.send(&Message::Held(held), &[], balancer);
                 }
             }
             Verdict::Return(returned) => self.give_back(&segment, returned, bytes, balancer),
@@ -242,7 +216,7 @@
             Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => {
                 self.ended("port closed");
             }
-            Err(error) => self.socket_failed("backend", &error),
+            Err(error) => self.process.socket_failed("backend", &error),
         }
     }
 
@@ -257,7 +231,7 @@
         let by = ByReason {
             reason: Word(reason),
         };
-        self.metrics.returned.get_or_create(&by).inc();
+        self.process.metrics.returned.get_or_create(&by).inc();
         let event = || Event::Return {
             flow: segment.flow,
             opener: segment.is_opener(),
@@ -265,16 +239,19 @@
             reason,
             load: returned.load,
         };
-        let now = self.clock.now();
-        self.log.write_with(Key::gives_back(reason), event, now);
-        self.send(&Message::Returned(returned), bytes, balancer);
+        let now = self.process.clock.now();
+        self.process
+            .log
+            .write_with(Key::gives_back(reason), event, now);
+        self.process
+            .send(&Message::Returned(returned), bytes, balancer);
     }
 
     fn sent(&self, bytes: &mut [u8]) {
-        let now = self.clock.now();
+        let now = self.process.clock.now();
         let packet = match self.codec.read_from_backend(bytes) {
             Ok(packet) => packet,
-            Err(error) => return self.unreadable("backend", &error),
+            Err(error) => return self.process.unreadable("backend", &error),
         };
         let segment = &packet.segment;
         let outbound = {
@@ -284,11 +261,15 @@
         match outbound {
             Outbound::Caller { waited } => {
                 if let Some(waited) = waited {
-                    self.metrics.answer_seconds.0.observe(waited.as_secs_f64());
+                    self.process
+                        .metrics
+                        .answer_seconds
+                        .0
+                        .observe(waited.as_secs_f64());
                 }
                 let caller = self.codec.caller(segment);
                 if let Err(error) = self.packets.send_to(bytes, caller) {
-                    self.socket_failed("packets", &error);
+                    self.process.socket_failed("packets", &error);
                 }
             }
             Outbound::Return { balancer, returned } => {
@@ -302,7 +283,7 @@
     async fn find_balancers(&self, directory: &impl Directory) {
         match directory.balancers().await {
             Ok(balancers) => self.seed(&balancers),
-            Err(error) => self.log(&Event::Dependency {
+            Err(error) => self.process.log(&Event::Dependency {
                 name: "store",
                 change: Change::Lost,
                 reason: error.to_string(),
@@ -324,31 +305,6 @@
             self.ended("connection refused");
         }
     }
-
-    fn send(&self, message: &Message, packet: &[u8], to: SocketAddrV4) {
-        if let Err(error) = self.peers.send(message, packet, to) {
-            self.message_failed(&error);
-        }
-    }
-
-    fn message_failed(&self, error: &peer::Error) {
-        match error {
-            peer::Error::Message(_) => self.metrics.malformed.inc(),
-            peer::Error::Socket(_) => self.metrics.socket_errors.inc(),
-        };
-        self.log(&Event::Malformed {
-            source: "process",
-            error: error.to_string(),
-        });
-    }
-
-    fn socket_failed(&self, socket: &'static str, error: &io::Error) {
-        self.metrics.socket_errors.inc();
-        self.log(&Event::Socket {
-            socket,
-            error: error.to_string(),
-        });
-    }
 }
 
 impl Service for Ready {
--- a/crates/lavenderseam_node/src/balancer/mod.rs
+++ b/crates/lavenderseam_node/src/balancer/mod.rs
@@ -4,6 +4,7 @@
 mod work;
 
 use std::cell::{Cell, RefCell};
+use std::error::Error;
 use std::io;
 use std::net::SocketAddrV4;
 use std::rc::Rc;
@@ -11,22 +12,15 @@
 
 use lavenderseam_passthrough::balancer::{Balancer, Place};
 
-use crate::clock::Clock;
 use crate::codec::Codec;
 use crate::http;
-use crate::log::{Event, Log};
-use crate::metrics::Metrics;
-use crate::peer::Peers;
+use crate::log::Event;
+use crate::process::{Process, RELOAD, TICK};
 use crate::socket::Socket;
 use crate::stop::{Request, Requests};
 pub use records::{Records, Source};
 use work::Work;
 
-/// Time between two ticks of the decisions.
-const TICK: Duration = Duration::from_millis(100);
-/// Time between two searches for a change of the settings that no signal told.
-const RELOAD: Duration = Duration::from_secs(2);
-
 /// Where a balancer listens, and whom it knows.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Settings {
@@ -62,7 +56,7 @@
 /// # Errors
 ///
 /// Fails if an address can't be listened on or signals can't be caught.
-pub async fn run<C, F, R>(
+pub async fn run<C, F, R, E>(
     settings: Settings,
     codec: C,
     source: impl FnOnce(Handle<C>) -> F,
@@ -71,7 +65,8 @@
 where
     C: Codec,
     F: Future<Output = ()> + 'static,
-    R: Fn() -> Option<Result<Vec<SocketAddrV4>, String>>,
+    R: Fn() -> Option<Result<Vec<SocketAddrV4>, E>>,
+    E: Error,
 {
     let mut requests = Requests::new()?;
     let place = Place {
@@ -81,21 +76,18 @@
     };
     let work = Rc::new(Work {
         codec,
-        clock: Clock::new(),
+        process: Process::new(settings.name.clone(), settings.peers).await?,
         balancer: RefCell::new(Balancer::new(place)),
         packets: Socket::bind(settings.packets).await?,
-        peers: Peers::bind(settings.peers).await?,
-        log: Log::new(settings.name.clone()),
-        metrics: Rc::new(Metrics::default()),
         reset: RefCell::default(),
         ready: Cell::new(false),
         stopping: Cell::new(false),
     });
     http::serve(settings.ready, work::Readiness(Rc::clone(&work))).await?;
-    http::serve(settings.metrics, Rc::clone(&work.metrics)).await?;
+    http::serve(settings.metrics, Rc::clone(&work.process.metrics)).await?;
     http::serve(settings.peers, records::Server(Rc::clone(&work))).await?;
     work.seed(&settings.seeds);
-    work.log(&Event::Start {
+    work.process.log(&Event::Start {
         role: "balancer",
         domain: settings.domain,
         address: settings.peers,
@@ -117,7 +109,7 @@
         };
         match request {
             Request::Stop => break,
-            Request::Reload => work.reload(&reload),
+            Request::Reload => work.seed(&work.process.reloaded(reload())),
         }
     }
     work.stop(settings.grace).await;
--- a/crates/lavenderseam_node/src/balancer/records.rs
+++ b/crates/lavenderseam_node/src/balancer/records.rs
@@ -1,5 +1,6 @@
 //! Records: taken from their source or from another balancer, and given to others.
 
+use std::fmt::Display;
 use std::net::SocketAddrV4;
 use std::rc::Rc;
 use std::time::Duration;
@@ -53,7 +54,7 @@
         let records = Records {
             desired: balancer.desired().cloned(),
             outs: balancer.outs().clone(),
-            targets: balancer.known(self.0.clock.now()),
+            targets: balancer.known(self.0.process.clock.now()),
         };
         match serde_json::to_vec(&records) {
             Ok(body) => Answer::json(StatusCode::OK, body),
@@ -72,7 +73,7 @@
                     work.desire(desired, Source::Peer);
                 }
                 work.take_outs(records.outs, Source::Peer);
-                let now = work.clock.now();
+                let now = work.process.clock.now();
                 work.balancer.borrow_mut().merge(&records.targets, now);
                 return;
             }
@@ -81,7 +82,7 @@
         Ok((status, _)) => status.to_string(),
         Err(error) => error.to_string(),
     };
-    work.log(&Event::Malformed {
+    work.process.log(&Event::Malformed {
         source: "balancer",
         error: format!("records of {rpc}: {error}"),
     });
@@ -93,7 +94,7 @@
         let routes = desired.routes.len();
         let services = desired.services.clone();
         if self.balancer.borrow_mut().desire(desired) {
-            self.log(&Event::Desired {
+            self.process.log(&Event::Desired {
                 revision,
                 version,
                 routes,
@@ -110,7 +111,7 @@
         // A later list of the same failure domains is newer and changes nothing.
         let changes = self.balancer.borrow().outs().domains != outs.domains;
         if self.balancer.borrow_mut().take_outs(outs) && changes {
-            self.log(&Event::Outs {
+            self.process.log(&Event::Outs {
                 revision,
                 domains,
                 source: source.name(),
@@ -132,13 +133,13 @@
 
     /// Takes the balancers that have registered with the store.
     pub fn enroll(&self, roster: &Roster) {
-        let now = self.work.clock.now();
+        let now = self.work.process.clock.now();
         self.work.balancer.borrow_mut().enroll(roster, now);
     }
 
     /// Logs that the store was lost or regained.
     pub fn store(&self, change: Change, reason: &impl ToString) {
-        self.work.log(&Event::Dependency {
+        self.work.process.log(&Event::Dependency {
             name: "store",
             change,
             reason: reason.to_string(),
@@ -146,17 +147,13 @@
     }
 
     /// Logs a record that can't be read.
-    pub fn unreadable(&self, error: &impl ToString) {
-        self.work.metrics.malformed.inc();
-        self.work.log(&Event::Malformed {
-            source: "store",
-            error: error.to_string(),
-        });
+    pub fn unreadable(&self, error: &impl Display) {
+        self.work.process.unreadable("store", error);
     }
 
     /// Counts a call to the store.
     pub fn called(&self, failed: bool, took: Option<Duration>) {
-        let metrics = &self.work.metrics;
+        let metrics = &self.work.process.metrics;
         metrics.store_calls.inc();
         if failed {
             metrics.store_errors.inc();
--- a/crates/lavenderseam_node/src/balancer/work.rs
+++ b/crates/lavenderseam_node/src/balancer/work.rs
@@ -1,7 +1,6 @@
 //! Feeds the balancer's decisions.
 
 use std::cell::{Cell, RefCell};
-use std::io;
 use std::net::SocketAddrV4;
 use std::rc::Rc;
 use std::time::Duration;
@@ -13,12 +12,11 @@
 use lavenderseam_passthrough::segment::Segment;
 
 use super::records;
-use crate::clock::Clock;
 use crate::codec::Codec;
 use crate::http::{Answer, Request, Service};
-use crate::log::{Event, Key, Log, Measure};
-use crate::metrics::{ByCause, ByReason, Metrics, Word};
-use crate::peer::{self, Peers};
+use crate::log::{Event, Key, Measure};
+use crate::metrics::{ByCause, ByReason, Word};
+use crate::process::Process;
 use crate::socket::Socket;
 
 /// Share of the grace of a planned stop that packets are still carried for, so that the fabric
@@ -29,12 +27,9 @@
 #[derive(Debug)]
 pub(crate) struct Work<C> {
     pub(crate) codec: C,
-    pub(crate) clock: Clock,
+    pub(crate) process: Process,
     pub(crate) balancer: RefCell<Balancer>,
     pub(crate) packets: Socket,
-    pub(crate) peers: Peers,
-    pub(crate) log: Log,
-    pub(crate) metrics: Rc<Metrics>,
     pub(crate) reset: RefCell<Vec<u8>>,
     pub(crate) ready: Cell<bool>,
     pub(crate) stopping: Cell<bool>,
@@ -44,12 +39,8 @@
 pub(crate) struct Readiness<C>(pub(crate) Rc<Work<C>>);
 
 impl<C: Codec> Work<C> {
-    pub(crate) fn log(&self, event: &Event) {
-        self.log.write(event, self.clock.now());
-    }
-
     pub(crate) fn seed(&self, seeds: &[SocketAddrV4]) {
-        let now = self.clock.now();
+        let now = self.process.clock.now();
         let mut balancer = self.balancer.borrow_mut();
         for seed in seeds {
             balancer.seed(*seed, now);
@@ -61,17 +52,18 @@
         self.packets
             .receive(|received| match received {
                 Ok((bytes, _)) => self.packet(bytes),
-                Err(error) => self.socket_failed("packets", &error),
+                Err(error) => self.process.socket_failed("packets", &error),
             })
             .await;
     }
 
     /// Takes messages of other processes as they come.
     pub(crate) async fn serve_peers(&self) {
-        self.peers
+        self.process
+            .peers
             .receive(|received| match received {
                 Ok((message, packet, from)) => self.message(message, packet, from),
-                Err(error) => self.message_failed(&error),
+                Err(error) => self.process.message_failed(&error),
             })
             .await;
     }
@@ -80,56 +72,43 @@
     pub(crate) async fn tick(self: Rc<Self>, period: Duration) {
         loop {
             tokio::time::sleep(period).await;
-            let now = self.clock.now();
+            let now = self.process.clock.now();
             let actions = self.balancer.borrow_mut().tick(now);
             for action in actions {
                 self.act(action);
             }
             self.observe();
-            self.log.flush(now);
+            self.process.log.flush(now);
         }
     }
 
     /// Says that it isn't ready, carries packets until the fabric has noticed, and ends.
     pub(crate) async fn stop(&self, grace: Duration) {
         self.stopping.set(true);
-        self.log(&Event::Stop);
+        self.process.log(&Event::Stop);
         tokio::time::sleep(grace.mul_f64(LINGER)).await;
     }
 
-    pub(crate) fn reload(&self, read: &impl Fn() -> Option<Result<Vec<SocketAddrV4>, String>>) {
-        let error = match read() {
-            None => return,
-            Some(Ok(seeds)) => {
-                self.seed(&seeds);
-                None
-            }
-            Some(Err(error)) => Some(error),
-        };
-        let accepted = error.is_none();
-        self.log(&Event::Reload { accepted, error });
-    }
-
     /// Notes whether it has become ready or no longer is.
     pub(crate) fn observe(&self) {
         let balancer = self.balancer.borrow();
-        let ready = balancer.is_ready(self.clock.now()) && !self.stopping.get();
+        let ready = balancer.is_ready(self.process.clock.now()) && !self.stopping.get();
         let flows = i64::try_from(balancer.flows()).unwrap_or(i64::MAX);
         drop(balancer);
-        self.metrics.flows.set(flows);
+        self.process.metrics.flows.set(flows);
         if self.ready.replace(ready) != ready {
-            self.log(&Event::Ready { ready });
+            self.process.log(&Event::Ready { ready });
         }
     }
 
     fn packet(&self, bytes: &[u8]) {
-        self.metrics.packets.inc();
-        let now = self.clock.now();
+        self.process.metrics.packets.inc();
+        let now = self.process.clock.now();
         let segment = match self.codec.read_from_caller(bytes) {
             Ok(packet) => packet.segment,
             Err(error) => {
-                self.metrics.malformed.inc();
-                self.log(&Event::Malformed {
+                self.process.metrics.malformed.inc();
+                self.process.log(&Event::Malformed {
                     source: "caller",
                     error: error.to_string(),
                 });
@@ -137,7 +116,7 @@
             }
         };
         if segment.is_opener() {
-            self.metrics.openers.inc();
+            self.process.metrics.openers.inc();
         }
         let verdict = self.balancer.borrow_mut().packet(&segment, now);
         self.carry_out(verdict, &segment, bytes, now);
@@ -146,23 +125,23 @@
     fn carry_out(&self, verdict: Verdict, segment: &Segment, bytes: &[u8], now: Instant) {
         match verdict {
             Verdict::Forward { agent, carry } => {
-                self.metrics.forwarded.inc();
-                self.send(&Message::Carry(carry), bytes, agent);
+                self.process.metrics.forwarded.inc();
+                self.process.send(&Message::Carry(carry), bytes, agent);
             }
             Verdict::Reset(cause) => {
                 let by = ByCause { cause: Word(cause) };
-                self.metrics.resets.get_or_create(&by).inc();
+                self.process.metrics.resets.get_or_create(&by).inc();
                 self.give_up(segment, Measure::Reset, cause, now);
                 let mut reset = self.reset.borrow_mut();
                 self.codec.reset(segment, &mut reset);
                 let caller = self.codec.caller(segment);
                 if let Err(error) = self.packets.send_to(&reset, caller) {
-                    self.socket_failed("packets", &error);
+                    self.process.socket_failed("packets", &error);
                 }
             }
             Verdict::Drop(cause) => {
                 let by = ByCause { cause: Word(cause) };
-                self.metrics.drops.get_or_create(&by).inc();
+                self.process.metrics.drops.get_or_create(&by).inc();
                 self.give_up(segment, Measure::Drop, cause, now);
             }
         }
@@ -182,17 +161,17 @@
                 targets: balancer.tally(segment.flow, now),
             }
         };
-        self.log.write_with(Key::packet(cause), event, now);
+        self.process.log.write_with(Key::packet(cause), event, now);
     }
 
     fn message(&self, message: Message, packet: &[u8], from: SocketAddrV4) {
-        let now = self.clock.now();
+        let now = self.process.clock.now();
         match message {
             Message::Returned(returned) => self.returned(returned, packet, from, now),
             Message::Held(held) => self.balancer.borrow_mut().held(&held, from, now),
             Message::Announcement(announcement) => self.announced(&announcement, from, now),
             Message::Gossip(gossip) => self.balancer.borrow_mut().gossiped(&gossip, from, now),
-            Message::Carry(_) | Message::Welcome(_) => self.log(&Event::Malformed {
+            Message::Carry(_) | Message::Welcome(_) => self.process.log(&Event::Malformed {
                 source: "process",
                 error: format!("{from} takes this balancer for an agent"),
             }),
@@ -203,12 +182,12 @@
         let by = ByReason {
             reason: Word(returned.reason),
         };
-        self.metrics.returned.get_or_create(&by).inc();
+        self.process.metrics.returned.get_or_create(&by).inc();
         let segment = match self.codec.read_from_caller(bytes) {
             Ok(packet) => packet.segment,
             Err(error) => {
-                self.metrics.malformed.inc();
-                self.log(&Event::Malformed {
+                self.process.metrics.malformed.inc();
+                self.process.log(&Event::Malformed {
                     source: "agent",
                     error: error.to_string(),
                 });
@@ -223,7 +202,8 @@
             load: returned.load,
             trail: returned.carry.trail.clone(),
         };
-        self.log
+        self.process
+            .log
             .write_with(Key::returned(returned.reason), event, now);
         let verdict = {
             let mut balancer = self.balancer.borrow_mut();
@@ -238,7 +218,7 @@
             balancer.announced(announcement, agent, now)
         };
         if announced.changed {
-            self.log(&Event::Target {
+            self.process.log(&Event::Target {
                 agent,
                 service: announcement.service.clone(),
                 domain: announcement.domain.clone(),
@@ -247,51 +227,29 @@
             });
             self.observe();
         }
-        self.send(&Message::Welcome(announced.welcome), &[], agent);
+        self.process
+            .send(&Message::Welcome(announced.welcome), &[], agent);
     }
 
     fn act(self: &Rc<Self>, action: Action) {
         match action {
-            Action::Gossip { to, gossip } => self.send(&Message::Gossip(gossip), &[], to),
+            Action::Gossip { to, gossip } => self.process.send(&Message::Gossip(gossip), &[], to),
             Action::Fetch { rpc } => {
                 let own = Rc::clone(self);
                 tokio::task::spawn_local(async move { records::fetch(&own, rpc).await });
             }
-            Action::Greet { agent, welcome } => self.send(&Message::Welcome(welcome), &[], agent),
-            Action::Forgot { agent } => self.log(&Event::Forgot { agent }),
-        }
-    }
-
-    fn send(&self, message: &Message, packet: &[u8], to: SocketAddrV4) {
-        if let Err(error) = self.peers.send(message, packet, to) {
-            self.message_failed(&error);
+            Action::Greet { agent, welcome } => {
+                self.process.send(&Message::Welcome(welcome), &[], agent);
+            }
+            Action::Forgot { agent } => self.process.log(&Event::Forgot { agent }),
         }
     }
-
-    fn message_failed(&self, error: &peer::Error) {
-        match error {
-            peer::Error::Message(_) => self.metrics.malformed.inc(),
-            peer::Error::Socket(_) => self.metrics.socket_errors.inc(),
-        };
-        self.log(&Event::Malformed {
-            source: "process",
-            error: error.to_string(),
-        });
-    }
-
-    fn socket_failed(&self, socket: &'static str, error: &io::Error) {
-        self.metrics.socket_errors.inc();
-        self.log(&Event::Socket {
-            socket,
-            error: error.to_string(),
-        });
-    }
 }
 
 impl<C: Codec> Service for Readiness<C> {
     fn answer(&self, _: &Request) -> Answer {
         let work = &self.0;
-        let ready = work.balancer.borrow().is_ready(work.clock.now());
+        let ready = work.balancer.borrow().is_ready(work.process.clock.now());
         if ready && !work.stopping.get() {
             Answer::empty(StatusCode::OK)
         } else {
--- a/crates/lavenderseam_node/src/lib.rs
+++ b/crates/lavenderseam_node/src/lib.rs
@@ -12,5 +12,6 @@
 pub mod log;
 pub mod metrics;
 mod peer;
+mod process;
 mod socket;
 pub mod stop;
--- a/crates/lavenderseam_passthrough/src/balancer/mod.rs
+++ b/crates/lavenderseam_passthrough/src/balancer/mod.rs
@@ -15,6 +15,7 @@
 mod routes;
 mod search;
 mod settings;
+mod target;
 mod targets;
 mod verdict;
 
@@ -289,7 +290,7 @@
     /// Whether it can serve: it knows the desired state and reaches a target that takes flows.
     #[must_use]
     pub fn is_ready(&self, now: Instant) -> bool {
-        let serves = |target: &targets::Target| target.serves(&self.settings, now);
+        let serves = |target: &target::Target| target.serves(&self.settings, now);
         self.desired.is_some() && self.targets.iter().any(serves)
     }
 
@@ -339,7 +340,7 @@
     /// Greetings to agents that only other balancers have heard, so that they learn of this one.
     fn greetings(&self) -> Vec<Action> {
         let unheard = self.targets.iter().filter(|target| target.is_unheard());
-        let greet = |target: &targets::Target| Action::Greet {
+        let greet = |target: &target::Target| Action::Greet {
             agent: target.agent,
             welcome: self.welcome(target.service_name(), &target.domain),
         };
--- a/crates/lavenderseam_passthrough/src/balancer/opening.rs
+++ b/crates/lavenderseam_passthrough/src/balancer/opening.rs
@@ -7,7 +7,8 @@
 use lavenderseam_core::time::Instant;
 
 use super::cache::{Line, State};
-use super::targets::{Choice, Request, Target};
+use super::target::Target;
+use super::targets::{Choice, Request};
 use super::{Balancer, Cause, Verdict};
 use crate::message::{ServiceTag, Standing, Tag, Trail};
 use crate::segment::Segment;
--- a/crates/lavenderseam_passthrough/src/balancer/search.rs
+++ b/crates/lavenderseam_passthrough/src/balancer/search.rs
@@ -3,7 +3,8 @@
 use lavenderseam_core::time::Instant;
 
 use super::cache::{Line, State};
-use super::targets::{Request, Target};
+use super::target::Target;
+use super::targets::Request;
 use super::{Balancer, Cause, Verdict};
 use crate::message::{Standing, Tag, Trail};
 use crate::segment::Segment;
