Refuse openers again 3 s after a start, also without a peer to compare with

Cause, found by reading: a balancer that restarts while its peers are gone never settles, so it dropped openers under overload, which their callers then waited for, instead of refusing them. Ruled out: resets of open flows without a peer's agreement, which stay forbidden. Change: openers are refused once the balancer has run for 3 s or has settled. Test: a_balancer_without_its_peer_refuses_overload_at_once, which fails without the change.

--- a/crates/lavenderseam_passthrough/src/balancer/opening.rs
+++ b/crates/lavenderseam_passthrough/src/balancer/opening.rs
@@ -135,7 +135,7 @@
         let unknown = targets
             .clone()
             .any(|target| target.standing == Standing::Unknown);
-        if !self.has_settled(now) || (!ready && unknown) {
+        if self.is_starting(now) || (!ready && unknown) {
             return Verdict::Drop(Cause::NotHeard);
         }
         if !ready {
--- a/crates/lavenderseam_passthrough/src/balancer/search.rs
+++ b/crates/lavenderseam_passthrough/src/balancer/search.rs
@@ -116,9 +116,16 @@
         self.has_settled(now) && !segment.flags.rst && !holders.is_empty() && targets.all(denies)
     }
 
+    /// Whether targets may still announce themselves for the first time.
+    pub(super) fn is_starting(&self, now: Instant) -> bool {
+        let ran = self.started.map(|started| now.since(started));
+        let long = ran.is_some_and(|ran| ran >= self.settings.alone);
+        !long && !self.has_settled(now)
+    }
+
     /// Whether every target is known: the process has run for a while, and another balancer has
     /// said since that it knows the same ones.
-    pub(super) fn has_settled(&self, now: Instant) -> bool {
+    fn has_settled(&self, now: Instant) -> bool {
         let Some(started) = self.started else {
             return false;
         };
--- a/crates/lavenderseam_passthrough/tests/loads.rs
+++ b/crates/lavenderseam_passthrough/tests/loads.rs
@@ -223,3 +223,16 @@
     let after: u64 = (0..2).map(|node| world.nodes[node].backend.ran).sum();
     expect_that!(after - before, ge(100));
 }
+
+/// Overload of a balancer whose only peer is gone for good: its callers are refused all the same.
+#[gtest]
+fn a_balancer_without_its_peer_refuses_overload_at_once() {
+    let mut world = World::new(&["a", "a"], &["a"], 1);
+    world.entries[1].balancer = None;
+    world.start_balancer(0);
+    world.run_for(seconds(4));
+    let before = world.resets;
+    world.load(0, 400, seconds(1), WORK);
+    world.run_for(seconds(2));
+    expect_that!(world.resets - before, ge(100));
+}
