--- a/crates/lavenderseam_passthrough/tests/flows.rs
+++ b/crates/lavenderseam_passthrough/tests/flows.rs
@@ -15,6 +15,15 @@
     World::new(&["a", "b", "c"], &["a", "a", "b", "b", "c", "c"], 4)
 }
 
+/// Cuts a balancer off from the machine whose backend server holds a caller's flow.
+fn cut_from_holder(world: &mut World, caller: usize, balancer: usize) {
+    let flow = world.callers[caller].flow.unwrap();
+    let holds = |node: &&world::Node| node.backend.holds_open(flow);
+    let holder = world.nodes.iter().find(holds).unwrap().address;
+    let cut = (world.entries[balancer].address, holder);
+    world.cuts.insert(cut);
+}
+
 fn seconds(count: u64) -> Duration {
     Duration::from_secs(count)
 }
@@ -144,13 +153,8 @@
     let mut world = domains();
     let caller = world.request(0, milliseconds(2_500));
     world.run_for(milliseconds(50));
-    let flow = world.callers[caller].flow.unwrap();
-    let holder = (0..6)
-        .find(|node| world.nodes[*node].backend.holds_open(flow))
-        .unwrap();
     // Another balancer, which can't reach the holder, gets the flow.
-    let (cut, node) = (world.entries[1].address, world.nodes[holder].address);
-    world.cuts.insert((cut, node));
+    cut_from_holder(&mut world, caller, 1);
     world.callers[caller].balancer = 1;
     world.run_for(seconds(2));
     expect_that!(world.wrong_resets, is_empty());
@@ -162,13 +166,8 @@
     let mut world = domains();
     let caller = world.request(0, milliseconds(2_500));
     world.run_for(milliseconds(50));
-    let flow = world.callers[caller].flow.unwrap();
-    let holder = (0..6)
-        .find(|node| world.nodes[*node].backend.holds_open(flow))
-        .unwrap();
-    let (cut, node) = (world.entries[1].address, world.nodes[holder].address);
     // It never hears of the holder before it gets the flow.
-    world.cuts.insert((cut, node));
+    cut_from_holder(&mut world, caller, 1);
     world.start_balancer(1);
     world.run_for(milliseconds(1_300));
     world.callers[caller].balancer = 1;
