Begin no retry of an edit that can't end in time

Cause: a caller whose edit had surely not run began another attempt a few milliseconds before its deadline. Ruled out: the agent, which said ran=no each time. Change: while an edit has surely not run, another attempt begins only if twice the slowest attempt so far, and at least 50 ms, are left. An edit that may have run is asked for until its deadline, as before.

--- a/crates/lavenderseam_caller/src/caller.rs
+++ b/crates/lavenderseam_caller/src/caller.rs
@@ -131,7 +131,7 @@
             if failure.ran() == Ran::Unknown {
                 ran = Ran::Unknown;
             }
-            if !self.pause(failure, count, deadline).await {
+            if !self.pause(failure, count, deadline, |_| true).await {
                 return Outcome::failed(failure, ran);
             }
             count += 1;
@@ -143,11 +143,20 @@
         self.budget.lock().succeeded();
     }
 
-    /// Waits before a retry; false if there is to be none.
-    pub(crate) async fn pause(&self, failure: Failure, count: u32, deadline: Instant) -> bool {
+    /// Waits before a retry; false if there is to be none. `fits` tells whether an attempt can end
+    /// in the time that is left then.
+    pub(crate) async fn pause(
+        &self,
+        failure: Failure,
+        count: u32,
+        deadline: Instant,
+        fits: impl Fn(Duration) -> bool,
+    ) -> bool {
         let wait = wait(failure, count);
         let at = Instant::now() + wait;
-        if failure == Failure::Late || at >= deadline || !self.budget.lock().take() {
+        let left = deadline.saturating_duration_since(at);
+        let late = failure == Failure::Late || left.is_zero() || !fits(left);
+        if late || !self.budget.lock().take() {
             return false;
         }
         self.statistics.lock().retries += 1;
--- a/crates/lavenderseam_caller/src/edit.rs
+++ b/crates/lavenderseam_caller/src/edit.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use http::{Method, StatusCode};
-use lavenderseam_core::request::{Binding, Key, Ran};
+use lavenderseam_core::request::{Attempts, Binding, Key, Ran};
 use tokio::time::{Instant, timeout_at};
 
 use crate::caller::Shared;
@@ -32,15 +32,22 @@
         let mut binding = None;
         let mut ran = Ran::No;
         let mut count = 0;
+        let mut attempts = Attempts::default();
         loop {
+            let began = Instant::now();
             let attempt = self.shared.attempt(path, key, binding, &body, deadline);
             let attempt = timeout_at(deadline, attempt).await;
+            attempts.ended(began.elapsed());
             let failure = match attempt.unwrap_or(Attempt::Failed(Failure::Late)) {
                 Attempt::Answered(answer) => {
                     self.shared.succeeded();
                     return Outcome::Answered(answer);
                 }
                 Attempt::Bind(fresh) => {
+                    let left = deadline.saturating_duration_since(Instant::now());
+                    if count > 0 && ran == Ran::No && !attempts.fits(left) {
+                        return Outcome::failed(Failure::Late, ran);
+                    }
                     binding = Some(fresh);
                     continue;
                 }
@@ -62,7 +69,8 @@
                 Failure::Connect | Failure::Rejected => {}
                 _ => ran = Ran::Unknown,
             }
-            if !self.shared.pause(failure, count, deadline).await {
+            let fits = |left| ran == Ran::Unknown || attempts.fits(left);
+            if !self.shared.pause(failure, count, deadline, fits).await {
                 return Outcome::failed(failure, ran);
             }
             count += 1;
--- a/crates/lavenderseam_core/src/request/budget.rs
+++ b/crates/lavenderseam_core/src/request/budget.rs
@@ -2,6 +2,10 @@
 
 use std::time::Duration;
 
+/// Multiple of the slowest attempt so far that another one is expected to take at most.
+const SLOWER: u32 = 2;
+/// Least time that an attempt is expected to need: a handshake and two round trips in a region.
+const LEAST: Duration = Duration::from_millis(50);
 /// Credit is counted in these parts of one retry.
 const PARTS: u32 = 100;
 
@@ -46,6 +50,26 @@
     }
 }
 
+/// How long the attempts at one request took.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Attempts {
+    slowest: Duration,
+}
+
+impl Attempts {
+    /// Notes an attempt that has ended.
+    pub fn ended(&mut self, took: Duration) {
+        self.slowest = self.slowest.max(took);
+    }
+
+    /// Whether another attempt can be expected to end within a time. One that can't would turn a
+    /// request that surely hasn't run into one that may have.
+    #[must_use]
+    pub fn fits(&self, left: Duration) -> bool {
+        left >= LEAST.max(self.slowest * SLOWER)
+    }
+}
+
 /// Time before a retry: drawn evenly from the second half of a span that doubles with each
 /// attempt, so that callers refused together don't come back together. `random` is any word.
 #[must_use]
--- a/crates/lavenderseam_core/src/request/mod.rs
+++ b/crates/lavenderseam_core/src/request/mod.rs
@@ -12,7 +12,7 @@
 mod refusal;
 
 pub use binding::{Binding, Malformed as MalformedBinding};
-pub use budget::{Budget, backoff};
+pub use budget::{Attempts, Budget, backoff};
 pub use key::{Key, Malformed as MalformedKey};
 pub use memory::{Begin, Inquiry, Memory, Settings as MemorySettings};
 pub use refusal::{Ran, Refusal, Stage, UnknownRan};
--- a/crates/lavenderseam_core/tests/request.rs
+++ b/crates/lavenderseam_core/tests/request.rs
@@ -6,7 +6,8 @@
 use googletest::prelude::*;
 use lavenderseam_core::id::{Incarnation, Tag};
 use lavenderseam_core::request::{
-    Begin, Binding, Budget, Inquiry, Key, Memory, MemorySettings, Ran, Refusal, Stage, backoff,
+    Attempts, Begin, Binding, Budget, Inquiry, Key, Memory, MemorySettings, Ran, Refusal, Stage,
+    backoff,
 };
 use lavenderseam_core::time::Instant;
 use proptest::prelude::*;
@@ -184,6 +185,19 @@
     }
 }
 
+// Pattern: a backend server that is gone refuses an edit until the caller's time is up.
+#[gtest]
+fn no_attempt_begins_that_can_not_end_in_time() {
+    let mut attempts = Attempts::default();
+    attempts.ended(Duration::from_millis(2));
+    expect_that!(attempts.fits(Duration::from_millis(100)), eq(true));
+    expect_that!(attempts.fits(Duration::from_millis(49)), eq(false));
+    attempts.ended(Duration::from_millis(80));
+    attempts.ended(Duration::from_millis(2));
+    expect_that!(attempts.fits(Duration::from_millis(100)), eq(false));
+    expect_that!(attempts.fits(Duration::from_millis(160)), eq(true));
+}
+
 proptest! {
     #[test]
     fn bindings_are_read_as_written(incarnation: u64, target: u64, issued: u64) {
