Don't take a passed deadline for a failure of the backend server

Cause: callers of a full window retry until their deadlines, so their last attempts have a few milliseconds left. When such an attempt's deadline passed, the window counted a failure and halved itself. The new log line of the window's limit showed it: every shrink was by "failed" while answers took 40 to 46 ms. Ruled out: latency jumps, sheds of the backend server, slots given back too early (none in the log). Change: a passed deadline is an outcome of its own. It counts as a failure only if the request was held for longer than a latency jump; otherwise it says nothing. Changes of the limit are logged with their cause.

--- a/crates/lavenderseam_agent/src/gauge.rs
+++ b/crates/lavenderseam_agent/src/gauge.rs
@@ -1,10 +1,12 @@
 //! The window of the backend server, shared by all requests.
 
+use std::fmt;
 use std::sync::Arc;
 use std::time::Duration;
 
 use lavenderseam_core::admission::{Admission, Bounds, Full, Opener, Outcome, Window};
 use lavenderseam_core::time::Instant;
+use lavenderseam_telemetry::Log;
 use parking_lot::Mutex;
 
 use crate::clock::Clock;
@@ -12,6 +14,7 @@
 /// The window of the backend server.
 pub(crate) struct Gauge {
     clock: Clock,
+    log: Log,
     window: Mutex<Window>,
 }
 
@@ -24,17 +27,18 @@
 }
 
 impl Gauge {
-    pub(crate) fn new(bounds: Bounds, clock: Clock) -> Self {
+    pub(crate) fn new(bounds: Bounds, clock: Clock, log: Log) -> Self {
         Self {
             window: Mutex::new(Window::new(bounds, clock.now())),
             clock,
+            log,
         }
     }
 
     /// Takes a slot.
     pub(crate) fn acquire(self: &Arc<Self>) -> Result<Permit, Full> {
         let now = self.clock.now();
-        self.window.lock().acquire(now)?;
+        self.change("a request", |window| window.acquire(now))?;
         Ok(Permit {
             gauge: Arc::clone(self),
             began: now,
@@ -48,12 +52,13 @@
     }
 
     pub(crate) fn set_bounds(&self, bounds: Bounds) {
-        self.window.lock().set_bounds(bounds);
+        self.change("the group's record", |window| window.set_bounds(bounds));
     }
 
     /// Notes that the backend server can't be reached.
     pub(crate) fn lost(&self) {
-        self.window.lock().lost(self.clock.now());
+        let now = self.clock.now();
+        self.change("a failed probe", |window| window.lost(now));
     }
 
     /// Concurrent requests that the backend server is given, and those that run.
@@ -61,6 +66,21 @@
         let window = self.window.lock();
         (window.limit(), window.in_flight())
     }
+
+    /// Changes the window, and logs its limit if that is another one now.
+    fn change<T>(&self, cause: impl fmt::Display, change: impl FnOnce(&mut Window) -> T) -> T {
+        let mut window = self.window.lock();
+        let (before, in_flight) = (window.limit(), window.in_flight());
+        let result = change(&mut window);
+        let after = window.limit();
+        drop(window);
+        if after != before {
+            self.log.info(format_args!(
+                "window goes from {before} to {after} slots with {in_flight} in use: {cause}"
+            ));
+        }
+        result
+    }
 }
 
 impl Permit {
@@ -90,7 +110,8 @@
         }
         let now = self.gauge.clock.now();
         let held = now.since(self.began);
-        self.gauge.window.lock().release(outcome, held, now);
+        self.gauge
+            .change(outcome, |window| window.release(outcome, held, now));
     }
 }
 
--- a/crates/lavenderseam_agent/src/plugin.rs
+++ b/crates/lavenderseam_agent/src/plugin.rs
@@ -64,7 +64,7 @@
         let clock = Clock::new();
         let (slots, cold_slots, connections) = BOUNDS_UNKNOWN;
         let bounds = Bounds::new(slots, cold_slots, connections);
-        let gauge = Arc::new(Gauge::new(bounds, clock));
+        let gauge = Arc::new(Gauge::new(bounds, clock, Log::new(PART)));
         let ledger = Arc::new(Ledger::new(identity.incarnation, target, clock));
         let owner = Owner::new(target, self.settings.group.clone(), identity.domain.clone());
         let flows = Flows::new(
--- a/crates/lavenderseam_agent/src/server/edit.rs
+++ b/crates/lavenderseam_agent/src/server/edit.rs
@@ -209,7 +209,7 @@
     tokio::select! {
         ended = attempt(&server, run, &mut permit, request) => ended,
         () = passed(deadline) => {
-            permit.end(Outcome::Failed);
+            permit.end(Outcome::Late);
             Ended::Refused(StatusCode::GATEWAY_TIMEOUT, Refusal::new(Stage::Sent))
         }
         () = wait(cancelled) => {
--- a/crates/lavenderseam_agent/src/server/repeatable.rs
+++ b/crates/lavenderseam_agent/src/server/repeatable.rs
@@ -84,7 +84,7 @@
         }
         Gone::Late => {
             if let Some(mut permit) = permit {
-                permit.end(Outcome::Failed);
+                permit.end(Outcome::Late);
             }
             let refusal = Refusal::new(Stage::Sent);
             exchange.refuse(StatusCode::GATEWAY_TIMEOUT, &refusal).await
--- a/crates/lavenderseam_core/src/admission/latency.rs
+++ b/crates/lavenderseam_core/src/admission/latency.rs
@@ -40,8 +40,7 @@
     pub(super) fn jumped(&mut self, sample: Duration, settings: &Settings) -> bool {
         let usual = self.mean;
         let known = self.samples >= SAMPLES_NEEDED;
-        let jump =
-            sample > usual * settings.latency_factor && sample > usual + settings.latency_slack;
+        let jump = settings.is_jump(sample, usual);
         self.add(if known { sample.min(usual * 2) } else { sample });
         known && jump
     }
--- a/crates/lavenderseam_core/src/admission/settings.rs
+++ b/crates/lavenderseam_core/src/admission/settings.rs
@@ -35,6 +35,13 @@
     pub retry_limit: Duration,
 }
 
+impl Settings {
+    /// Whether a latency is far above the usual one.
+    pub(super) fn is_jump(&self, latency: Duration, usual: Duration) -> bool {
+        latency > usual * self.latency_factor && latency > usual + self.latency_slack
+    }
+}
+
 impl Default for Settings {
     fn default() -> Self {
         Self {
--- a/crates/lavenderseam_core/src/admission/window.rs
+++ b/crates/lavenderseam_core/src/admission/window.rs
@@ -21,6 +21,8 @@
     Refused,
     /// Failed: an error, a cut answer or a timeout.
     Failed,
+    /// The request's deadline passed before there was an answer.
+    Late,
     /// The backend server can't be reached.
     Unreachable,
     /// Given up by the caller before there was an outcome.
@@ -127,6 +129,9 @@
         match outcome {
             Outcome::Answered(first_byte) => self.succeeded(first_byte, held, now),
             Outcome::Refused | Outcome::Failed => self.failed(now),
+            Outcome::Late if self.had_time(held) => self.failed(now),
+            // A caller that retries until its deadline leaves little time in the end.
+            Outcome::Late => {}
             Outcome::Unreachable => self.lost(now),
             Outcome::Cancelled => {}
         }
@@ -239,6 +244,12 @@
         }
     }
 
+    /// Whether a request was held for longer than the backend server usually takes to answer.
+    fn had_time(&self, held: Duration) -> bool {
+        let usual = self.first_byte.or(HOLD_UNKNOWN);
+        self.settings.is_jump(held, usual)
+    }
+
     fn failed(&mut self, now: Instant) {
         self.alive = now;
         let burst = self.settings.burst;
@@ -331,6 +342,21 @@
     }
 }
 
+impl fmt::Display for Outcome {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Answered(first_byte) => {
+                write!(formatter, "answered within {} ms", first_byte.as_millis())
+            }
+            Self::Refused => formatter.write_str("refused by the backend server"),
+            Self::Failed => formatter.write_str("failed"),
+            Self::Late => formatter.write_str("not answered by its deadline"),
+            Self::Unreachable => formatter.write_str("backend server can't be reached"),
+            Self::Cancelled => formatter.write_str("cancelled by the caller"),
+        }
+    }
+}
+
 impl fmt::Display for Full {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         let wait = self.retry_after.as_millis();
--- a/crates/lavenderseam_core/tests/admission.rs
+++ b/crates/lavenderseam_core/tests/admission.rs
@@ -72,6 +72,21 @@
     expect_that!(window.limit(), eq(COLD));
 }
 
+// Pattern: callers of a full service retry until their deadlines, so the last attempts have no time.
+#[gtest]
+fn a_deadline_that_left_no_time_shrinks_nothing() {
+    let mut window = warm();
+    let limit = window.limit();
+    for now in 60_000..60_010 {
+        expect_that!(window.acquire(at(now)), ok(anything()));
+        window.release(Outcome::Late, Duration::from_millis(10), at(now + 10));
+    }
+    expect_that!(window.limit(), eq(limit));
+    expect_that!(window.acquire(at(60_100)), ok(anything()));
+    window.release(Outcome::Late, Duration::from_secs(1), at(61_100));
+    expect_that!(window.limit(), lt(limit));
+}
+
 #[gtest]
 fn an_unreachable_backend_server_is_cold_and_admits_no_flow() {
     let mut window = warm();
@@ -270,6 +285,7 @@
         6 => (1_u64..80).prop_map(|ms| Outcome::Answered(Duration::from_millis(ms))),
         1 => Just(Outcome::Refused),
         1 => Just(Outcome::Failed),
+        1 => Just(Outcome::Late),
         1 => Just(Outcome::Cancelled),
     ];
     prop_oneof![
@@ -337,6 +353,10 @@
                         }
                         prop_assert!(window.limit() <= (before / 2).max(COLD));
                     }
+                    if outcome == Outcome::Late {
+                        // 20 ms are no more than it usually takes.
+                        prop_assert_eq!(window.limit(), before);
+                    }
                     if window.limit() > before {
                         prop_assert!(matches!(outcome, Outcome::Answered(_)));
                         prop_assert!(window.limit() <= before * 2);
