Read datagrams a batch at a time

Cause: a balancer that gets one packet made six calls for it: a wait, a read, a read that found nothing, a wait without time because the task gave up its turn, a wait, and the send. Small edge machines spend most of their share on these. Ruled out: the decisions themselves (their time is a few microseconds). Change: recvmmsg reads up to 16 datagrams with one call; fewer than that say that the socket is empty, so no further call has to; the task gives up its turn only if the batch was full.

--- a/crates/lavenderseam_node/src/socket.rs
+++ b/crates/lavenderseam_node/src/socket.rs
@@ -1,12 +1,15 @@
 //! Datagram sockets that are read in batches.
 
 use std::io;
+use std::mem::size_of;
 use std::net::{SocketAddr, SocketAddrV4};
+use std::os::fd::AsRawFd;
 
+use tokio::io::Interest;
 use tokio::net::UdpSocket;
 
-/// Datagrams read before other tasks get their turn.
-const BATCH: usize = 32;
+/// Datagrams that one call reads, and that are read before other tasks get their turn.
+const BATCH: usize = 16;
 /// Longest datagram: a packet and the message before it.
 pub(crate) const DATAGRAM: usize = 2_048;
 
@@ -16,6 +19,13 @@
     inner: UdpSocket,
 }
 
+/// Room for the datagrams that one call reads.
+struct Batch {
+    buffers: Box<[[u8; DATAGRAM]; BATCH]>,
+    senders: [libc::sockaddr_in; BATCH],
+    lengths: [usize; BATCH],
+}
+
 impl Socket {
     /// A socket at an address.
     pub(crate) async fn bind(address: SocketAddrV4) -> io::Result<Self> {
@@ -45,22 +55,93 @@
         &self,
         mut take: impl FnMut(io::Result<(&mut [u8], SocketAddrV4)>),
     ) {
-        let mut buffer = [0; DATAGRAM];
+        let mut batch = Batch::new();
         loop {
             if let Err(error) = self.inner.readable().await {
                 take(Err(error));
             }
-            for _ in 0..BATCH {
-                match self.inner.try_recv_from(&mut buffer) {
-                    Ok((length, SocketAddr::V4(from))) => take(Ok((&mut buffer[..length], from))),
-                    Ok(_) => {}
-                    Err(error) if error.kind() == io::ErrorKind::WouldBlock => break,
-                    Err(error) => take(Err(error)),
+            let read = self
+                .inner
+                .try_io(Interest::READABLE, || batch.receive(&self.inner));
+            match read {
+                Ok(count) => {
+                    for index in 0..count {
+                        take(Ok(batch.datagram(index)));
+                    }
+                    if count < BATCH {
+                        self.drained();
+                        continue;
+                    }
                 }
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => continue,
+                Err(error) => take(Err(error)),
             }
             tokio::task::yield_now().await;
         }
     }
+
+    /// Notes that nothing is left to read, without the call that would say so.
+    fn drained(&self) {
+        let empty = || Err::<(), _>(io::ErrorKind::WouldBlock.into());
+        // Always fails, as it is meant to.
+        let _ = self.inner.try_io(Interest::READABLE, empty);
+    }
+}
+
+impl Batch {
+    fn new() -> Self {
+        let none = libc::sockaddr_in {
+            sin_family: 0,
+            sin_port: 0,
+            sin_addr: libc::in_addr { s_addr: 0 },
+            sin_zero: [0; 8],
+        };
+        Self {
+            buffers: Box::new([[0; DATAGRAM]; BATCH]),
+            senders: [none; BATCH],
+            lengths: [0; BATCH],
+        }
+    }
+
+    /// Reads what is there, up to a batch; returns the number of datagrams.
+    fn receive(&mut self, socket: &UdpSocket) -> io::Result<usize> {
+        let mut parts = self.buffers.each_mut().map(|buffer| libc::iovec {
+            iov_base: buffer.as_mut_ptr().cast(),
+            iov_len: buffer.len(),
+        });
+        // SAFETY: all fields of a head may be zero.
+        let mut heads: [libc::mmsghdr; BATCH] = unsafe { std::mem::zeroed() };
+        for ((head, part), sender) in heads.iter_mut().zip(&mut parts).zip(&mut self.senders) {
+            head.msg_hdr.msg_name = (&raw mut *sender).cast();
+            head.msg_hdr.msg_namelen = size_of::<libc::sockaddr_in>() as libc::socklen_t;
+            head.msg_hdr.msg_iov = part;
+            head.msg_hdr.msg_iovlen = 1;
+        }
+        // SAFETY: each head points to a part and an address that outlive the call, and each part
+        // to a buffer of its length.
+        let count = unsafe {
+            libc::recvmmsg(
+                socket.as_raw_fd(),
+                heads.as_mut_ptr(),
+                BATCH as libc::c_uint,
+                libc::MSG_DONTWAIT,
+                std::ptr::null_mut(),
+            )
+        };
+        let count = usize::try_from(count).map_err(|_| io::Error::last_os_error())?;
+        for (length, head) in self.lengths.iter_mut().zip(&heads) {
+            *length = head.msg_len as usize;
+        }
+        Ok(count)
+    }
+
+    /// A datagram that was read, and its sender.
+    fn datagram(&mut self, index: usize) -> (&mut [u8], SocketAddrV4) {
+        let sender = self.senders[index];
+        let address = u32::from_be(sender.sin_addr.s_addr).into();
+        let sender = SocketAddrV4::new(address, u16::from_be(sender.sin_port));
+        (&mut self.buffers[index][..self.lengths[index]], sender)
+    }
 }
 
 fn sent(result: io::Result<usize>) -> io::Result<()> {
