Give the callers' QUIC transport a crate of its own

Cause: the agent held the transport, the HTTP/3 server and the admission in one crate, and five files of the server used each other in a circle, so nobody could build or read the agent's decisions without QUIC. Change: transport/ moves to lavenderseam_quic as it is, with public items documented. In server/, the exchange, the stage and the dispatch are modules of their own; each uses those below it only. No behaviour changes.

--- a/crates/lavenderseam_agent/src/lib.rs
+++ b/crates/lavenderseam_agent/src/lib.rs
@@ -3,7 +3,7 @@
 //! It owns the flows that end there, ends the callers' transport, gives the backend server what
 //! it bears, runs requests that may not be repeated at most once, and leaves without cutting a
 //! request. Reading order: [`AgentPlugin`] (how the parts hang together), `peer` (packets in and
-//! out), `transport` (QUIC), `server` (HTTP/3), `backend` (HTTP/1.1).
+//! out), `server` (HTTP/3), `backend` (HTTP/1.1).
 
 mod answer;
 mod backend;
@@ -20,7 +20,6 @@
 mod server;
 mod settings;
 mod stage;
-mod transport;
 
 pub use plugin::AgentPlugin;
 pub use settings::Settings;
--- a/crates/lavenderseam_agent/src/peer.rs
+++ b/crates/lavenderseam_agent/src/peer.rs
@@ -7,11 +7,11 @@
 use lavenderseam_core::flow::owner::{Action, Arrival};
 use lavenderseam_core::flow::{Hint, Packet};
 use lavenderseam_core::id::{Incarnation, Tag};
+use lavenderseam_quic::Endpoints;
 use lavenderseam_wire::{Body, Echo, Forward, Frame, Key, Probe};
 use tokio::net::UdpSocket;
 
 use crate::server::{self, Server, Stage};
-use crate::transport::Endpoints;
 
 /// Longest datagram, in bytes.
 const DATAGRAM_LIMIT: usize = 65_536;
--- a/crates/lavenderseam_agent/src/plugin.rs
+++ b/crates/lavenderseam_agent/src/plugin.rs
@@ -9,6 +9,7 @@
 use lavenderseam_core::flow::Owner;
 use lavenderseam_core::id::Tag;
 use lavenderseam_core::record::Slots;
+use lavenderseam_quic::{Certificate, Egress, Endpoints};
 use lavenderseam_telemetry::{Log, Metrics};
 use tokio::net::UdpSocket;
 use tokio::sync::watch;
@@ -25,7 +26,6 @@
 use crate::remote::{self, Inquirer};
 use crate::server::{Server, Stage};
 use crate::stage::Follower;
-use crate::transport::{Certificate, Egress, Endpoints};
 
 /// Name of this part.
 const PART: &str = "agent";
--- a/crates/lavenderseam_agent/src/reload.rs
+++ b/crates/lavenderseam_agent/src/reload.rs
@@ -2,12 +2,11 @@
 
 use std::time::Duration;
 
+use lavenderseam_quic::Endpoints;
 use lavenderseam_telemetry::Log;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::time::{MissedTickBehavior, interval};
 
-use crate::transport::Endpoints;
-
 /// Time between two looks at the files.
 const INTERVAL: Duration = Duration::from_secs(1);
 
--- a/crates/lavenderseam_agent/src/server/connection.rs
+++ b/crates/lavenderseam_agent/src/server/connection.rs
@@ -9,13 +9,12 @@
 use h3::error::Code;
 use h3::quic::SendStream;
 use h3::server::RequestResolver;
+use lavenderseam_quic::{self as quic, Watch};
 use parking_lot::Mutex;
 use quinn::{Endpoint, Incoming, VarInt};
-use tokio::sync::watch;
 use tokio::time::sleep_until;
 
 use super::{Server, Stage, request};
-use crate::transport::{self, Watch};
 
 /// Code that connections end with when the failure domain is out.
 const DOMAIN_OUT: VarInt = VarInt::from_u32(0x4c53_0001);
@@ -26,7 +25,7 @@
 /// Requests beyond the last one seen that a caller may still have sent; none of them is run.
 const REQUESTS_AHEAD: usize = 1;
 
-type Resolver = RequestResolver<transport::Connection, Bytes>;
+type Resolver = RequestResolver<quic::Connection, Bytes>;
 
 /// Accepts the connections of one service address.
 pub(crate) async fn serve(server: Arc<Server>, endpoint: Endpoint, service: SocketAddr) {
@@ -75,7 +74,7 @@
 impl Served {
     /// Serves requests until the connection ends.
     async fn run(self) {
-        let transport = transport::Connection::new(self.connection.clone());
+        let transport = quic::Connection::new(self.connection.clone());
         let latest = transport.latest();
         let Ok(mut http) = h3::server::Connection::new(transport).await else {
             return;
@@ -149,12 +148,3 @@
     let code = Code::H3_REQUEST_REJECTED.value();
     resolver.frame_stream.reset(code);
 }
-
-/// The stage, once it is another one than serving.
-pub(crate) async fn leaving(stage: &mut watch::Receiver<Stage>) -> Stage {
-    match stage.wait_for(|stage| *stage != Stage::Serving).await {
-        Ok(stage) => *stage,
-        // The server itself is gone.
-        Err(_) => Stage::Out,
-    }
-}
--- a/crates/lavenderseam_agent/src/server/edit.rs
+++ b/crates/lavenderseam_agent/src/server/edit.rs
@@ -17,7 +17,7 @@
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
-use super::request::{Exchange, Gone, forwarded, gone, passed, trace};
+use super::exchange::{Exchange, Gone, forwarded, gone, passed, trace};
 use super::{Server, reply};
 use crate::answer::Answer;
 use crate::gauge::Permit;
--- a/crates/lavenderseam_agent/src/server/mod.rs
+++ b/crates/lavenderseam_agent/src/server/mod.rs
@@ -2,21 +2,26 @@
 //!
 //! - [`connection`]: one caller's connection, from its handshake to its end.
 //! - [`request`]: reads one request and decides which way it takes.
+//! - [`exchange`]: one request's stream and its surroundings.
 //! - [`repeatable`]: requests that may be repeated, downloads and live feeds; streamed.
 //! - [`edit`]: requests that may not be repeated; at most once.
 //! - [`reply`]: writes answers that are whole, and answers of the agent's own.
+//! - [`stage`]: whether connections may stay.
+//!
+//! Each uses those below it only.
 
 mod connection;
 mod edit;
+mod exchange;
 mod repeatable;
 mod reply;
 mod request;
+mod stage;
 
 use std::sync::Arc;
 
 use lavenderseam_telemetry::{Log, Metrics};
 use tokio::sync::watch;
-use tokio::time::Instant;
 
 use crate::backend::Backend;
 use crate::flows::Flows;
@@ -25,17 +30,7 @@
 use crate::remote::Inquirer;
 
 pub(crate) use connection::serve;
-
-/// Whether callers' connections may stay.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Stage {
-    /// They may.
-    Serving,
-    /// They are to end once their requests have, at the latest at this time.
-    Draining(Instant),
-    /// They end now: the failure domain is out.
-    Out,
-}
+pub(crate) use stage::Stage;
 
 /// What all connections share.
 pub(crate) struct Server {
--- a/crates/lavenderseam_agent/src/server/repeatable.rs
+++ b/crates/lavenderseam_agent/src/server/repeatable.rs
@@ -12,9 +12,9 @@
 use lavenderseam_telemetry::trace::{Hop, Span};
 use tokio::sync::watch;
 
-use super::connection::leaving;
-use super::request::{Exchange, Gone, Kind, forwarded, gone, passed, trace};
-use super::{Stage as Phase, reply};
+use super::exchange::{Exchange, Gone, Kind, forwarded, gone, passed, trace};
+use super::reply;
+use super::stage::{Stage as Phase, leaving};
 use crate::backend;
 use crate::gauge::Permit;
 
--- a/crates/lavenderseam_agent/src/server/reply.rs
+++ b/crates/lavenderseam_agent/src/server/reply.rs
@@ -4,10 +4,13 @@
 use h3::error::StreamError;
 use http::{HeaderMap, Response, StatusCode, header as field};
 use lavenderseam_core::request::{Refusal, Stage};
+use lavenderseam_quic as quic;
 
-use super::request::Stream;
 use crate::header;
 
+/// One request's stream.
+pub(super) type Stream = h3::server::RequestStream<quic::Stream<Bytes>, Bytes>;
+
 /// A response without content on the agent's own account.
 pub(super) fn refusal(status: StatusCode, refusal: &Refusal) -> Response<Bytes> {
     let mut response = Response::new(Bytes::new());
--- a/crates/lavenderseam_agent/src/stage.rs
+++ b/crates/lavenderseam_agent/src/stage.rs
@@ -9,10 +9,10 @@
 use lavenderseam_core::id;
 use lavenderseam_core::record::{self, Phase};
 use lavenderseam_core::view::{Standing, View};
+use lavenderseam_quic::Endpoints;
 use tokio::time::{Instant, sleep, timeout};
 
 use crate::server::{Server, Stage};
-use crate::transport::Endpoints;
 
 /// Time for a drain while no record of the group has been seen.
 const DRAIN_UNKNOWN: Duration = Duration::from_secs(30);
--- a/crates/lavenderseam_agent/src/transport/egress.rs
+++ b/crates/lavenderseam_quic/src/egress.rs
@@ -10,7 +10,7 @@
 
 /// Sends callers' packets to the fabric.
 #[derive(Debug)]
-pub(crate) struct Egress {
+pub struct Egress {
     socket: Arc<UdpSocket>,
     fabric: SocketAddr,
     buffer: Mutex<Vec<u8>>,
@@ -18,7 +18,11 @@
 
 impl Egress {
     /// Sends to the fabric at `fabric` from an ephemeral port of the agent's own address.
-    pub(crate) fn new(fabric: SocketAddr, own: IpAddr) -> io::Result<Self> {
+    ///
+    /// # Errors
+    ///
+    /// Fails if no socket can be bound there.
+    pub fn new(fabric: SocketAddr, own: IpAddr) -> io::Result<Self> {
         let local = SocketAddr::new(own, 0);
         let socket = std::net::UdpSocket::bind(local)?;
         socket.set_nonblocking(true)?;
--- a/crates/lavenderseam_agent/src/transport/endpoint.rs
+++ b/crates/lavenderseam_quic/src/endpoint.rs
@@ -12,11 +12,11 @@
 use parking_lot::RwLock;
 use quinn::{Endpoint, EndpointConfig, IdleTimeout, ServerConfig, TokioRuntime, TransportConfig};
 
-use super::connection_id::Generator;
-use super::reset_key::ResetKey;
-use super::socket::Socket;
-use super::tls;
-use super::{Certificate, Egress};
+use crate::connection_id::Generator;
+use crate::reset_key::ResetKey;
+use crate::socket::Socket;
+use crate::tls;
+use crate::{Certificate, Egress};
 
 /// Silence after which a connection counts as lost, in milliseconds.
 const IDLE_TIMEOUT_MILLISECONDS: u32 = 5_000;
@@ -28,7 +28,7 @@
 const SEND_WINDOW: u64 = 1024 * 1024;
 
 /// Creates endpoints and delivers packets to them.
-pub(crate) struct Endpoints {
+pub struct Endpoints {
     key: Key,
     owner: Tag,
     egress: Arc<Egress>,
@@ -52,12 +52,8 @@
 
 impl Endpoints {
     /// `key` is the shared key.
-    pub(crate) fn new(
-        key: &Key,
-        owner: Tag,
-        egress: Arc<Egress>,
-        certificate: Certificate,
-    ) -> Self {
+    #[must_use]
+    pub fn new(key: &Key, owner: Tag, egress: Arc<Egress>, certificate: Certificate) -> Self {
         Self {
             key: key.clone(),
             owner,
@@ -68,29 +64,40 @@
     }
 
     /// The certificate's files.
-    pub(crate) fn certificate(&self) -> &Certificate {
+    #[must_use]
+    pub const fn certificate(&self) -> &Certificate {
         &self.certificate
     }
 
+    /// Reads the certificate without using it.
+    ///
+    /// # Errors
+    ///
     /// Fails if the certificate can't be used.
-    pub(crate) fn check(&self) -> Result<(), Error> {
+    pub fn check(&self) -> Result<(), Error> {
         self.certificate.load().map(|_| ()).map_err(Error::Tls)
     }
 
     /// Delivers a packet; false if there is no endpoint at the address or it is overrun.
-    pub(crate) fn deliver(&self, service: SocketAddr, caller: SocketAddr, payload: &[u8]) -> bool {
+    #[must_use]
+    pub fn deliver(&self, service: SocketAddr, caller: SocketAddr, payload: &[u8]) -> bool {
         let open = self.open.read();
         open.get(&service)
             .is_some_and(|open| open.socket.deliver(caller, payload))
     }
 
     /// Whether there is an endpoint at the address.
-    pub(crate) fn is_open(&self, service: SocketAddr) -> bool {
+    #[must_use]
+    pub fn is_open(&self, service: SocketAddr) -> bool {
         self.open.read().contains_key(&service)
     }
 
     /// Opens the endpoint of a service address.
-    pub(crate) fn open(&self, service: SocketAddr) -> Result<Endpoint, Error> {
+    ///
+    /// # Errors
+    ///
+    /// Fails if the certificate can't be used or the transport can't start.
+    pub fn open(&self, service: SocketAddr) -> Result<Endpoint, Error> {
         let server = server(&self.certificate).map_err(Error::Tls)?;
         let socket = Arc::new(Socket::new(service, Arc::clone(&self.egress)));
         let endpoint = Endpoint::new_with_abstract_socket(
@@ -109,7 +116,11 @@
     }
 
     /// Reads the certificate again; connections that are open keep theirs.
-    pub(crate) fn reload(&self) -> Result<(), Error> {
+    ///
+    /// # Errors
+    ///
+    /// Fails if the certificate can't be used.
+    pub fn reload(&self) -> Result<(), Error> {
         let server = server(&self.certificate).map_err(Error::Tls)?;
         for open in self.open.read().values() {
             open.endpoint.set_server_config(Some(server.clone()));
@@ -118,7 +129,7 @@
     }
 
     /// Waits until the last packets of ended connections have been sent.
-    pub(crate) async fn idle(&self) {
+    pub async fn idle(&self) {
         let endpoints: Vec<Endpoint> = {
             let open = self.open.read();
             open.values().map(|open| open.endpoint.clone()).collect()
--- a/crates/lavenderseam_agent/src/transport/failure.rs
+++ b/crates/lavenderseam_quic/src/failure.rs
@@ -5,7 +5,7 @@
 use h3::quic::{ConnectionErrorIncoming, StreamErrorIncoming};
 use quinn::{ConnectionError, ReadError, WriteError};
 
-pub(super) fn connection_error(error: ConnectionError) -> ConnectionErrorIncoming {
+pub(crate) fn connection_error(error: ConnectionError) -> ConnectionErrorIncoming {
     match error {
         ConnectionError::ApplicationClosed(closed) => ConnectionErrorIncoming::ApplicationClose {
             error_code: closed.error_code.into(),
@@ -15,13 +15,13 @@
     }
 }
 
-pub(super) fn lost(error: ConnectionError) -> StreamErrorIncoming {
+pub(crate) fn lost(error: ConnectionError) -> StreamErrorIncoming {
     StreamErrorIncoming::ConnectionErrorIncoming {
         connection_error: connection_error(error),
     }
 }
 
-pub(super) fn read_error(error: ReadError) -> StreamErrorIncoming {
+pub(crate) fn read_error(error: ReadError) -> StreamErrorIncoming {
     match error {
         ReadError::Reset(code) => StreamErrorIncoming::StreamTerminated {
             error_code: code.into_inner(),
@@ -31,7 +31,7 @@
     }
 }
 
-pub(super) fn write_error(error: WriteError) -> StreamErrorIncoming {
+pub(crate) fn write_error(error: WriteError) -> StreamErrorIncoming {
     match error {
         WriteError::Stopped(code) => StreamErrorIncoming::StreamTerminated {
             error_code: code.into_inner(),
--- a/crates/lavenderseam_agent/src/transport/mod.rs
+++ b/crates/lavenderseam_quic/src/lib.rs
@@ -1,7 +1,7 @@
-//! The callers' transport: QUIC connections that end at this agent.
+//! Transport for callers that speak QUIC: connections end at an agent.
 //!
 //! There is one QUIC endpoint for each service address, so a connection can't be reached through
-//! another service's address. An endpoint has no UDP socket of its own: its [`socket::Socket`] is
+//! another service's address. An endpoint has no UDP socket of its own: its `socket::Socket` is
 //! fed with the packets that balancers forward, and hands what it sends to the fabric with the
 //! service's address as the source.
 
@@ -14,7 +14,7 @@
 mod stream;
 mod tls;
 
-pub(crate) use egress::Egress;
-pub(crate) use endpoint::Endpoints;
-pub(crate) use stream::{Connection, Stream, Watch};
-pub(crate) use tls::Certificate;
+pub use egress::Egress;
+pub use endpoint::{Endpoints, Error};
+pub use stream::{Connection, Opener, Recv, Send, Stream, Watch};
+pub use tls::{Certificate, Error as CertificateError};
--- a/crates/lavenderseam_agent/src/transport/socket.rs
+++ b/crates/lavenderseam_quic/src/socket.rs
@@ -14,7 +14,7 @@
 use quinn::udp::{RecvMeta, Transmit};
 use quinn::{AsyncUdpSocket, UdpPoller};
 
-use super::Egress;
+use crate::Egress;
 
 /// Packets that wait for an endpoint before further ones are dropped.
 const QUEUE_LIMIT: usize = 4096;
--- a/crates/lavenderseam_agent/src/transport/stream.rs
+++ b/crates/lavenderseam_quic/src/stream.rs
@@ -16,7 +16,7 @@
 use parking_lot::Mutex;
 use quinn::{ConnectionError, StoppedError, VarInt};
 
-use super::failure::{connection_error, lost, read_error, write_error};
+use crate::failure::{connection_error, lost, read_error, write_error};
 
 /// Bytes read from a stream at once.
 const READ_LENGTH: usize = 16 * 1024;
@@ -25,10 +25,10 @@
 type Pair = (quinn::SendStream, quinn::RecvStream);
 
 /// Resolves, once only, when the caller has stopped a stream or has received all of it.
-pub(crate) type Watch = Fuse<BoxFuture<'static, Result<Option<VarInt>, StoppedError>>>;
+pub type Watch = Fuse<BoxFuture<'static, Result<Option<VarInt>, StoppedError>>>;
 
 /// A QUIC connection for HTTP/3.
-pub(crate) struct Connection {
+pub struct Connection {
     connection: quinn::Connection,
     accepting: Opening<Pair>,
     accepting_uni: Opening<quinn::RecvStream>,
@@ -37,32 +37,34 @@
 }
 
 /// Opens streams.
-pub(crate) struct Opener {
+pub struct Opener {
     connection: quinn::Connection,
     opening: Opening<Pair>,
     opening_uni: Opening<quinn::SendStream>,
 }
 
 /// Both directions of a stream.
-pub(crate) struct Stream<B: Buf> {
+pub struct Stream<B: Buf> {
     send: Send<B>,
     recv: Recv,
 }
 
 /// The sending direction of a stream; resets it when dropped unfinished.
-pub(crate) struct Send<B: Buf> {
+pub struct Send<B: Buf> {
     stream: quinn::SendStream,
     writing: Option<WriteBuf<B>>,
     finished: bool,
 }
 
 /// The receiving direction of a stream.
-pub(crate) struct Recv {
+pub struct Recv {
     stream: quinn::RecvStream,
 }
 
 impl Connection {
-    pub(crate) fn new(connection: quinn::Connection) -> Self {
+    /// A connection that has been accepted.
+    #[must_use]
+    pub fn new(connection: quinn::Connection) -> Self {
         Self {
             opener: Opener::new(connection.clone()),
             connection,
@@ -73,7 +75,8 @@
     }
 
     /// Holds the watch of the stream accepted last.
-    pub(crate) fn latest(&self) -> Arc<Mutex<Option<Watch>>> {
+    #[must_use]
+    pub fn latest(&self) -> Arc<Mutex<Option<Watch>>> {
         Arc::clone(&self.latest)
     }
 }
--- a/crates/lavenderseam_agent/src/transport/tls.rs
+++ b/crates/lavenderseam_quic/src/tls.rs
@@ -14,9 +14,11 @@
 
 /// Files of a certificate chain and its private key, both PEM.
 #[derive(Clone, Debug)]
-pub(crate) struct Certificate {
-    pub(crate) chain: PathBuf,
-    pub(crate) private_key: PathBuf,
+pub struct Certificate {
+    /// File of the chain.
+    pub chain: PathBuf,
+    /// File of the private key.
+    pub private_key: PathBuf,
 }
 
 /// Why a certificate can't be used.
@@ -32,7 +34,8 @@
 
 impl Certificate {
     /// When each file was last changed; none for one that can't be looked at.
-    pub(crate) fn modified(&self) -> [Option<SystemTime>; 2] {
+    #[must_use]
+    pub fn modified(&self) -> [Option<SystemTime>; 2] {
         [&self.chain, &self.private_key].map(|file| file.metadata().ok()?.modified().ok())
     }
 
