Search for a flow's owner in the order in which placement prefers targets

Cause: placement added the rendezvous score to a target's cost, so it preferred the lowest score, while the search for an unknown owner began with the highest. A balancer that had lost a flow asked nearly every target before the one that held it. Ruled out: unknown targets (all were known), the order of failure domains (the same in both). Change: the highest score costs least.

--- a/crates/lavenderseam_passthrough/src/balancer/target.rs
+++ b/crates/lavenderseam_passthrough/src/balancer/target.rs
@@ -170,7 +170,8 @@
         if self.domain != request.domain {
             cost += settings.crossing;
         }
+        // The highest rank is best, as it is for the search.
         let rank = score(request.flow.word(), u64::from(self.tag.0)) >> 40;
-        cost + settings.spread * (rank as f32 / (1u32 << 24) as f32)
+        cost + settings.spread * (1.0 - rank as f32 / (1u32 << 24) as f32)
     }
 }
