--- a/crates/lavenderseam_passthrough/tests/search.rs
+++ b/crates/lavenderseam_passthrough/tests/search.rs
@@ -1,5 +1,7 @@
 //! How long the search for a flow's owner takes.
 
+#![expect(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
+
 mod world;
 
 use std::time::Duration;
