Let a request that was broken off keep its slot for a while

Cause: a backend server that goes down and up takes flows while it is down and ends each with its first request. Its answers' mean wait, which sets apart those that answer too soon, didn't move, because it gave no answers. Change: a request that ends without an answer keeps its slot for 200 ms, doubled by each failure in a row up to 1.6 s. The agent admits less, and its load tells balancers to prefer others. An event and a counter tell of each. The message between processes stays as it was. Failed try: taking every end without data for a failure.

--- a/crates/lavenderseam_node/src/agent/work.rs
+++ b/crates/lavenderseam_node/src/agent/work.rs
@@ -7,7 +7,8 @@
 use std::time::Duration;
 
 use ::http::StatusCode;
-use lavenderseam_passthrough::agent::{Action, Agent, Beat, Heartbeat, Outbound, Verdict};
+use lavenderseam_core::time::Instant;
+use lavenderseam_passthrough::agent::{Action, Agent, Beat, Heartbeat, Outbound, Reply, Verdict};
 use lavenderseam_passthrough::message::{Carry, Message, Returned};
 use lavenderseam_passthrough::segment::Segment;
 use tokio::net::TcpStream;
@@ -154,6 +155,22 @@
         }
     }
 
+    /// Notes that a request was answered or broken off.
+    fn replied(&self, segment: &Segment, reply: Reply, now: Instant) {
+        let metrics = &self.process.metrics;
+        match reply {
+            Reply::Answered(waited) => metrics.answer_seconds.0.observe(waited.as_secs_f64()),
+            Reply::Broken(waited) => {
+                metrics.broken.inc();
+                self.process.log(&Event::Broken {
+                    flow: segment.flow,
+                    waited_ms: waited.as_millis() as u64,
+                    load: self.agent.borrow_mut().load(now),
+                });
+            }
+        }
+    }
+
     fn ended(&self, reason: &'static str) {
         let now = self.process.clock.now();
         if self.agent.borrow_mut().refused(now) {
@@ -259,13 +276,9 @@
             agent.outbound(segment, packet.bounced, now)
         };
         match outbound {
-            Outbound::Caller { waited } => {
-                if let Some(waited) = waited {
-                    self.process
-                        .metrics
-                        .answer_seconds
-                        .0
-                        .observe(waited.as_secs_f64());
+            Outbound::Caller { reply } => {
+                if let Some(reply) = reply {
+                    self.replied(segment, reply, now);
                 }
                 let caller = self.codec.caller(segment);
                 if let Err(error) = self.packets.send_to(bytes, caller) {
--- a/crates/lavenderseam_node/src/log/event.rs
+++ b/crates/lavenderseam_node/src/log/event.rs
@@ -153,6 +153,15 @@
         /// The target's load.
         load: Load,
     },
+    /// The backend server ended a flow without an answer to its request.
+    Broken {
+        /// The flow.
+        flow: Flow,
+        /// How long the request had waited, in milliseconds.
+        waited_ms: u64,
+        /// The target's load from now on.
+        load: Load,
+    },
     /// The backend server's standing has changed.
     Backend {
         /// Its id.
@@ -243,6 +252,7 @@
             Self::Packet { cause, .. } => return Some(Key::packet(*cause)),
             Self::Returned { reason, .. } => return Some(Key::returned(*reason)),
             Self::Return { reason, .. } => return Some(Key::gives_back(*reason)),
+            Self::Broken { .. } => ("broken", ""),
             Self::Dependency { name, .. } => ("dependency", *name),
             Self::Desired { source, .. } => ("desired", *source),
             Self::Outs { source, .. } => ("outs", *source),
--- a/crates/lavenderseam_node/src/metrics.rs
+++ b/crates/lavenderseam_node/src/metrics.rs
@@ -63,6 +63,8 @@
     pub busy: Gauge,
     /// Time of a call to the store other than a watch, in seconds.
     pub store_seconds: Latency,
+    /// Requests that the backend server ended without an answer.
+    pub broken: Counter,
     /// Time until the backend server answered a request, in seconds.
     pub answer_seconds: Latency,
 }
@@ -98,6 +100,8 @@
         registry.register("busy", "Flows that wait for an answer", self.busy.clone());
         let store = self.store_seconds.0.clone();
         registry.register("store_seconds", "Time of a call to the store", store);
+        let broken = self.broken.clone();
+        registry.register("broken", "Requests ended without an answer", broken);
         let answer = self.answer_seconds.0.clone();
         registry.register(
             "answer_seconds",
--- a/crates/lavenderseam_passthrough/src/agent/admission.rs
+++ b/crates/lavenderseam_passthrough/src/agent/admission.rs
@@ -82,10 +82,11 @@
         if self.flows.len() >= connections.unwrap_or(self.settings.flows) {
             return Err(Reason::Full);
         }
+        let free = slots.saturating_sub(self.penalties.slots(now));
         let queue = if carry.trail.queues {
-            slots.saturating_mul(self.settings.queue)
+            free.saturating_mul(self.settings.queue)
         } else {
-            slots
+            free
         };
         if self.flows.busy() >= queue {
             return Err(Reason::Busy);
--- a/crates/lavenderseam_passthrough/src/agent/flows.rs
+++ b/crates/lavenderseam_passthrough/src/agent/flows.rs
@@ -23,6 +23,15 @@
     Closed,
 }
 
+/// What a packet of the backend server means for a request that waits; holds how long it did.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reply {
+    /// It begins the answer.
+    Answered(Duration),
+    /// It ends the flow without an answer.
+    Broken(Duration),
+}
+
 /// A flow.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Entry {
@@ -32,6 +41,8 @@
     waiting: Option<Instant>,
     /// End of the caller's data so far; none if it has sent none.
     requested: Option<u32>,
+    /// Number that follows what the backend server has sent so far; none if it isn't known.
+    answered: Option<u32>,
     used: Instant,
     caller_closed: bool,
     backend_closed: bool,
@@ -61,6 +72,7 @@
             state: State::Opening(None),
             waiting: Some(now),
             requested: None,
+            answered: None,
             used: now,
             caller_closed: false,
             backend_closed: false,
@@ -80,6 +92,7 @@
             state,
             waiting: None,
             requested: None,
+            answered: None,
             used: now,
             caller_closed: false,
             backend_closed: false,
@@ -112,27 +125,34 @@
         self.settle(segment.flow);
     }
 
-    /// Notes a packet of the backend server; returns how long a request waited if it answers one.
-    pub(crate) fn take_answer(&mut self, segment: &Segment, now: Instant) -> Option<Duration> {
+    /// Notes a packet of the backend server; returns what it means for a request that waits.
+    pub(crate) fn take_answer(&mut self, segment: &Segment, now: Instant) -> Option<Reply> {
         self.count(now);
         let entry = self.table.get_mut(&segment.flow)?;
         entry.used = now;
         if segment.flags.syn && matches!(entry.state, State::Opening(_)) {
             entry.state = State::Opening(Some(segment.sequence));
         }
-        let mut waited = None;
-        if segment.length > 0
-            && let Some(since) = entry.waiting.take()
-        {
-            waited = Some(now.since(since));
+        let mut reply = None;
+        if let Some(since) = entry.waiting {
+            let waited = now.since(since);
+            if segment.length > 0 {
+                reply = Some(Reply::Answered(waited));
+            } else if entry.is_broken_by(segment) {
+                reply = Some(Reply::Broken(waited));
+            }
+        }
+        if reply.is_some() {
+            entry.waiting = None;
             self.busy = self.busy.saturating_sub(1);
         }
+        entry.answered = segment.follows(entry.answered);
         entry.backend_closed |= segment.flags.fin;
         if segment.flags.rst {
             entry.state = State::Closed;
         }
         self.settle(segment.flow);
-        waited
+        reply
     }
 
     /// Forgets a flow.
@@ -221,6 +241,16 @@
 }
 
 impl Entry {
+    /// Whether a packet of the backend server ends the flow without an answer to its request.
+    ///
+    /// Packets may cross each other: an end whose number is ahead of what was sent so far comes
+    /// after an answer that is still on its way.
+    fn is_broken_by(&self, segment: &Segment) -> bool {
+        let nothing_before = self.answered == Some(segment.sequence);
+        let ends = segment.flags.rst || (segment.flags.fin && nothing_before);
+        ends && self.requested.is_some()
+    }
+
     /// Whether a packet of the caller may belong to the flow as the backend server opened it.
     ///
     /// A repeated opener may have reached another target too; the caller follows one of the two
--- a/crates/lavenderseam_passthrough/src/agent/mod.rs
+++ b/crates/lavenderseam_passthrough/src/agent/mod.rs
@@ -14,13 +14,13 @@
 mod balancers;
 mod doubt;
 mod flows;
+mod penalties;
 mod pending;
 mod settings;
 mod waits;
 mod warmup;
 
 use std::net::SocketAddrV4;
-use std::time::Duration;
 
 use lavenderseam_core::catalog::Revision;
 use lavenderseam_core::time::Instant;
@@ -35,7 +35,9 @@
 pub use backend::{Beat, Heartbeat, Rejection};
 use balancers::{Balancers, Due};
 use doubt::Doubt;
+pub use flows::Reply;
 use flows::{Flows, State};
+use penalties::Penalties;
 use pending::Pending;
 pub use settings::Settings;
 use waits::Waits;
@@ -73,8 +75,8 @@
 pub enum Outbound {
     /// The caller gets it.
     Caller {
-        /// How long its request waited, if it is the first of an answer.
-        waited: Option<Duration>,
+        /// What it means for its request, if that was waiting.
+        reply: Option<Reply>,
     },
     /// It was bounced and goes back to a balancer.
     Return {
@@ -121,6 +123,7 @@
     urgent: bool,
     doubt: Doubt,
     waits: Waits,
+    penalties: Penalties,
 }
 
 /// What balancers said of the service.
@@ -160,6 +163,7 @@
             urgent: false,
             doubt: Doubt::default(),
             waits: Waits::default(),
+            penalties: Penalties::default(),
         }
     }
 
@@ -207,11 +211,18 @@
             if self.flows.get(segment.flow).is_none() {
                 self.flows.find(segment, now);
             }
-            let waited = self.flows.take_answer(segment, now);
-            if let Some(waited) = waited {
-                self.waits.note(waited);
+            let reply = self.flows.take_answer(segment, now);
+            match reply {
+                Some(Reply::Answered(waited)) => {
+                    self.waits.note(waited);
+                    self.penalties.answered();
+                }
+                Some(Reply::Broken(_)) => {
+                    self.penalties.failed(now);
+                }
+                None => {}
             }
-            return Outbound::Caller { waited };
+            return Outbound::Caller { reply };
         };
         self.doubt.answered();
         let reason = self.bounced(segment, now);
@@ -276,6 +287,7 @@
                 self.warmup.clear();
                 self.doubt = Doubt::default();
                 self.waits = Waits::default();
+                self.penalties = Penalties::default();
             }
         }
         Ok(taken)
@@ -382,9 +394,13 @@
         let cold = present.is_some_and(|present| present.is_cold(now));
         let rate = self.cold_rate();
         let cold = cold.then(|| self.warmup.left(rate, now));
+        let kept = self.penalties.slots(now);
         Load {
-            busy: self.flows.busy(),
-            mean: self.flows.mean(now),
+            busy: self.flows.busy().saturating_add(kept),
+            mean: self
+                .flows
+                .mean(now)
+                .saturating_add(kept.saturating_mul(100)),
             slots,
             flows: u32::try_from(self.flows.len()).unwrap_or(u32::MAX),
             wait: self.waits.mean(),
--- a/crates/lavenderseam_passthrough/src/message.rs
+++ b/crates/lavenderseam_passthrough/src/message.rs
@@ -101,7 +101,7 @@
 /// Work at one target.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Load {
-    /// Flows that wait for an answer now.
+    /// Flows that wait for an answer now, and slots that failed requests keep.
     pub busy: u16,
     /// Mean of `busy` over the last second, in hundredths.
     pub mean: u16,
--- a/crates/lavenderseam_passthrough/src/segment.rs
+++ b/crates/lavenderseam_passthrough/src/segment.rs
@@ -59,6 +59,18 @@
         self.length > 0 && seen.is_none_or(beyond)
     }
 
+    /// The number that follows it and what was `sent` before it; none until an answer to an opener
+    /// has told where the numbers begin.
+    #[must_use]
+    pub fn follows(&self, sent: Option<u32>) -> Option<u32> {
+        if self.flags.syn {
+            return sent.or(Some(self.sequence.wrapping_add(1)));
+        }
+        let sent = sent?;
+        let ahead = self.end().wrapping_sub(sent) < u32::MAX / 2;
+        Some(if ahead { self.end() } else { sent })
+    }
+
     /// Whether the acknowledgment may answer data sent from `first` on.
     #[must_use]
     pub fn acknowledges(&self, first: u32) -> bool {
--- a/crates/lavenderseam_passthrough/tests/agent.rs
+++ b/crates/lavenderseam_passthrough/tests/agent.rs
@@ -12,8 +12,9 @@
 };
 use googletest::prelude::*;
 use lavenderseam_core::catalog::Revision;
-use lavenderseam_passthrough::agent::{Action, Agent, Outbound, Place, Verdict};
+use lavenderseam_passthrough::agent::{Action, Agent, Outbound, Place, Reply, Verdict};
 use lavenderseam_passthrough::message::{Reason, ServiceTag};
+use lavenderseam_passthrough::segment::{Flags, Segment};
 
 #[gtest]
 fn a_request_sent_again_after_its_answer_is_no_work() {
@@ -21,8 +22,8 @@
     open(&mut agent, 1, at(0));
     expect_that!(agent.load(at(1)).busy, eq(1));
     let answered = agent.outbound(&answer(1), None, at(300));
-    let waited = Some(Duration::from_millis(300));
-    expect_that!(answered, eq(&Outbound::Caller { waited }));
+    let reply = Some(Reply::Answered(Duration::from_millis(300)));
+    expect_that!(answered, eq(&Outbound::Caller { reply }));
     expect_that!(agent.load(at(300)).busy, eq(0));
     // The copy was on its way when the answer came.
     agent.carried(&request(1, 1), carry(), BALANCER, at(301));
@@ -173,3 +174,44 @@
         not(contains(eq(&Action::FindBalancers)))
     );
 }
+
+#[gtest]
+fn an_end_that_overtakes_its_answer_breaks_nothing_off() {
+    let mut agent = agent();
+    open(&mut agent, 1, at(0));
+    let end = Segment {
+        flags: Flags {
+            ack: true,
+            fin: true,
+            ..Flags::default()
+        },
+        sequence: NUMBER + 1_489,
+        length: 0,
+        ..answer(1)
+    };
+    let overtaking = agent.outbound(&end, None, at(20));
+    expect_that!(overtaking, eq(&Outbound::Caller { reply: None }));
+    expect_that!(agent.load(at(20)).busy, eq(1));
+    let answered = agent.outbound(&answer(1), None, at(20));
+    let reply = Some(Reply::Answered(Duration::from_millis(20)));
+    expect_that!(answered, eq(&Outbound::Caller { reply }));
+}
+
+#[gtest]
+fn a_request_that_is_broken_off_keeps_its_slot_for_a_while() {
+    let mut agent = agent();
+    open(&mut agent, 1, at(0));
+    let reset = Segment {
+        flags: Flags {
+            rst: true,
+            ..Flags::default()
+        },
+        length: 0,
+        ..answer(1)
+    };
+    let broken = agent.outbound(&reset, None, at(5));
+    let reply = Some(Reply::Broken(Duration::from_millis(5)));
+    expect_that!(broken, eq(&Outbound::Caller { reply }));
+    expect_that!(agent.load(at(100)).busy, eq(1));
+    expect_that!(agent.load(at(300)).busy, eq(0));
+}
--- a/crates/lavenderseam_passthrough/tests/loads.rs
+++ b/crates/lavenderseam_passthrough/tests/loads.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use googletest::prelude::*;
+use lavenderseam_core::time::Instant;
 use world::{World, desired};
 
 const WORK: Duration = Duration::from_millis(20);
@@ -260,3 +261,24 @@
     // One in twenty.
     expect_that!(slow, le(world.callers.len() / 20));
 }
+
+/// One of seven backend servers takes flows and breaks off every request for three seconds: it seems
+/// idle, and still gets few.
+#[gtest]
+fn a_backend_server_that_breaks_requests_off_gets_few() {
+    let mut world = World::new(&["a"], &["a"; 7], 4);
+    world.load(0, 400, seconds(8), WORK);
+    world.run_for(seconds(2));
+    world.nodes[0].backend.breaks = true;
+    world.run_for(seconds(3));
+    // Its four slots, kept for 1.6 s each, and the first failures, whose penalties are shorter.
+    expect_that!(world.nodes[0].backend.failed, le(4 * 3 + 12));
+    world.nodes[0].backend.breaks = false;
+    world.run_for(seconds(2));
+    let ran = world.nodes[0].backend.ran;
+    world.run_for(seconds(1));
+    // A seventh of the load is 57.
+    expect_that!(world.nodes[0].backend.ran - ran, ge(30));
+    world.run_for(seconds(1));
+    expect_that!(world.served(Instant::default()), eq(1.0));
+}
--- a/crates/lavenderseam_passthrough/tests/world/backend.rs
+++ b/crates/lavenderseam_passthrough/tests/world/backend.rs
@@ -38,7 +38,9 @@
     pub draining: bool,
     /// Fails every request at once.
     pub fails: bool,
-    /// Requests that it failed.
+    /// Ends the flow of every request without an answer.
+    pub breaks: bool,
+    /// Requests that it failed or broke off.
     pub failed: u64,
     warm: u64,
     flows: BTreeMap<Flow, Held>,
@@ -61,6 +63,7 @@
             beats: 0,
             draining: false,
             fails: false,
+            breaks: false,
             failed: 0,
             warm: 0,
             flows: BTreeMap::new(),
@@ -164,6 +167,16 @@
             self.reply(node, flow, flags, 2, 0);
             return;
         }
+        if segment.length > 0 && backend.breaks {
+            backend.failed += 1;
+            backend.flows.remove(&flow);
+            let flags = Flags {
+                rst: true,
+                ..Flags::default()
+            };
+            self.reply(node, flow, flags, 1, 0);
+            return;
+        }
         if segment.length > 0 && !held.asked {
             held.asked = true;
             if backend.running < backend.slots {
--- a/crates/lavenderseam_passthrough/tests/world/caller.rs
+++ b/crates/lavenderseam_passthrough/tests/world/caller.rs
@@ -104,6 +104,8 @@
             caller.follows = Some(segment.sequence);
             caller.wait = 200_000;
             self.send_request(index);
+        } else if segment.flags.rst {
+            self.try_again(index);
         } else if segment.length > 0 {
             caller.end(Outcome::Answered, self.now);
             let fin = Flags {
