Log ignored records and lists of the store, and show their age

Cause: between the acknowledgement of a change and its late effect a balancer logged nothing, whether it had ignored the record as older, had not been told of it, or had taken an older one from a peer.

Change: an ignored record is logged with its revision and version and those held, and counted by kind; each list of the store is logged with its revision and reason. Gauges show the time since the store last answered for a kind of records, and the version and revision of the desired state in force. The trace command shows both lines among the state changes.

--- a/crates/lavenderseam_cli/src/command/trace.rs
+++ b/crates/lavenderseam_cli/src/command/trace.rs
@@ -20,7 +20,7 @@
 /// Time after the last line of the flow for which state changes are shown, in milliseconds.
 const CONTEXT_AFTER_MS: i64 = 2_000;
 /// Log events that report a state change of a process.
-const STATE_CHANGE_EVENTS: [&str; 9] = [
+const STATE_CHANGE_EVENTS: [&str; 11] = [
     "start",
     "stop",
     "reload",
@@ -30,6 +30,8 @@
     "target",
     "backend",
     "dependency",
+    "ignored",
+    "listed",
 ];
 
 /// Merges the log lines of one flow from the logs of several processes on standard input.
--- a/crates/lavenderseam_node/src/balancer/driver.rs
+++ b/crates/lavenderseam_node/src/balancer/driver.rs
@@ -1,6 +1,7 @@
 //! Drives the balancer's state machine with packets, messages and ticks.
 
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::net::SocketAddrV4;
 use std::rc::Rc;
 use std::time::Duration;
@@ -11,7 +12,7 @@
 use lavenderseam_passthrough::message::{Announcement, Message, ReturnHeader};
 use lavenderseam_passthrough::segment::Segment;
 
-use super::records;
+use super::records::{self, RecordKind};
 use crate::codec::PacketCodec;
 use crate::http::{Request, Service, ServiceResponse};
 use crate::log::{Event, LogKey, PacketAction};
@@ -40,6 +41,8 @@
     pub(crate) was_ready: Cell<bool>,
     /// `true` once a signal has requested shutdown.
     pub(crate) is_stopping: Cell<bool>,
+    /// Time of the store's last answer to a list or watch, by kind of record.
+    pub(crate) store_answered_at: RefCell<BTreeMap<RecordKind, Instant>>,
 }
 
 /// Readiness endpoint of a balancer.
@@ -99,8 +102,9 @@
         tokio::time::sleep(grace_period.mul_f64(FORWARDING_SHARE_OF_GRACE_PERIOD)).await;
     }
 
-    /// Updates the flow metric, and logs a change of readiness.
+    /// Updates the metrics of the current state, and logs a change of readiness.
     pub(crate) fn update_status(&self) {
+        self.update_record_metrics();
         let balancer = self.balancer.borrow();
         let ready = balancer.is_ready(self.process.clock.now()) && !self.is_stopping.get();
         let flows = i64::try_from(balancer.cached_flows()).unwrap_or(i64::MAX);
--- a/crates/lavenderseam_node/src/balancer/mod.rs
+++ b/crates/lavenderseam_node/src/balancer/mod.rs
@@ -19,7 +19,7 @@
 use crate::socket::DatagramSocket;
 use crate::unix_signals::{SignalAction, SignalListener};
 use driver::Driver;
-pub use records::{RecordSource, Records};
+pub use records::{RecordKind, RecordSource, Records};
 
 /// Settings of a balancer.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -82,6 +82,7 @@
         reset_buffer: RefCell::default(),
         was_ready: Cell::new(false),
         is_stopping: Cell::new(false),
+        store_answered_at: RefCell::default(),
     });
     http::serve(
         settings.readiness_address,
--- a/crates/lavenderseam_node/src/balancer/records.rs
+++ b/crates/lavenderseam_node/src/balancer/records.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use ::http::StatusCode;
+use lavenderseam_core::catalog::Revision;
 use lavenderseam_passthrough::desired::{DesiredState, OutOfServiceDomains, RegisteredBalancers};
 use lavenderseam_passthrough::message::TargetSnapshot;
 use serde::{Deserialize, Serialize};
@@ -15,6 +16,7 @@
 use crate::codec::PacketCodec;
 use crate::http::{self, Request, Service, ServiceResponse};
 use crate::log::{DependencyChange, Event};
+use crate::metrics::RecordLabel;
 
 /// HTTP path at which a balancer serves its records to others.
 const RECORDS_PATH: &str = "/records";
@@ -35,6 +37,17 @@
     pub targets: Vec<TargetSnapshot>,
 }
 
+/// Kind of records that a balancer watches in the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum RecordKind {
+    /// Desired state.
+    Desired,
+    /// Disabled failure domains.
+    DisabledDomains,
+    /// Registrations of balancers.
+    Balancers,
+}
+
 /// Where a record came from.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RecordSource {
@@ -94,9 +107,14 @@
 }
 
 impl<C: PacketCodec> Driver<C> {
-    /// Applies a desired state; logs it if it is newer than the current one.
+    /// Applies a desired state; logs whether it is newer or older than the current one.
     fn apply_desired_state(&self, desired_state: DesiredState, source: RecordSource) {
         let (revision, version) = (desired_state.revision, desired_state.version);
+        let held = {
+            let balancer = self.balancer.borrow();
+            let held = balancer.desired_state();
+            held.map(|held| (held.revision, held.version))
+        };
         let routes = desired_state.routes.len();
         let services = desired_state.services.clone();
         if self.balancer.borrow_mut().set_desired_state(desired_state) {
@@ -108,6 +126,17 @@
                 source: source.name(),
             });
             self.update_status();
+        } else if let Some((held_revision, held_version)) = held
+            && held_revision != revision
+        {
+            self.record_ignored(&Event::RecordIgnored {
+                record: RecordKind::Desired.name(),
+                revision,
+                version: Some(version),
+                held_revision,
+                held_version: Some(held_version),
+                source: source.name(),
+            });
         }
     }
 
@@ -115,20 +144,58 @@
     fn apply_disabled_domains(&self, disabled_domains: OutOfServiceDomains, source: RecordSource) {
         let revision = disabled_domains.revision;
         let domains = disabled_domains.domains.iter().cloned().collect();
+        let held_revision = self.balancer.borrow().out_of_service_domains().revision;
         // A newer revision may list the same failure domains, which is not worth a log line.
         let changes =
             self.balancer.borrow().out_of_service_domains().domains != disabled_domains.domains;
-        if self
+        let applied = self
             .balancer
             .borrow_mut()
-            .set_out_of_service_domains(disabled_domains)
-            && changes
-        {
+            .set_out_of_service_domains(disabled_domains);
+        if applied && changes {
             self.process.log(&Event::DisabledDomains {
                 revision,
                 domains,
                 source: source.name(),
             });
+        } else if !applied && changes {
+            self.record_ignored(&Event::RecordIgnored {
+                record: RecordKind::DisabledDomains.name(),
+                revision,
+                version: None,
+                held_revision,
+                held_version: None,
+                source: source.name(),
+            });
+        }
+    }
+
+    /// Counts and logs a record that is older than the one held.
+    fn record_ignored(&self, event: &Event) {
+        if let Event::RecordIgnored { record, .. } = event {
+            let label = RecordLabel { record };
+            let counter = &self.process.metrics.records_ignored;
+            counter.get_or_create(&label).inc();
+        }
+        self.process.log(event);
+    }
+
+    /// Updates the metrics of the desired state in force and of the age of the store's answers.
+    pub(super) fn update_record_metrics(&self) {
+        let metrics = &self.process.metrics;
+        if let Some(desired_state) = self.balancer.borrow().desired_state() {
+            let version = i64::try_from(desired_state.version).unwrap_or(i64::MAX);
+            let revision = i64::try_from(desired_state.revision.0).unwrap_or(i64::MAX);
+            metrics.desired_version.set(version);
+            metrics.desired_revision.set(revision);
+        }
+        let now = self.process.clock.now();
+        for (kind, answered_at) in self.store_answered_at.borrow().iter() {
+            let label = RecordLabel {
+                record: kind.name(),
+            };
+            let age = now.since(*answered_at).as_secs_f64();
+            metrics.store_age_seconds.get_or_create(&label).set(age);
         }
     }
 }
@@ -169,6 +236,33 @@
         self.driver.process.record_malformed("store", error);
     }
 
+    /// Logs that all records of a kind were read from the store.
+    pub fn log_list(
+        &self,
+        kind: RecordKind,
+        revision: Revision,
+        records: usize,
+        reason: &'static str,
+    ) {
+        self.driver.process.log(&Event::RecordsListed {
+            record: kind.name(),
+            revision,
+            records,
+            reason,
+        });
+    }
+
+    /// Counts a list or watch of a kind of records.
+    ///
+    /// `duration` is `None` for a watch, whose duration depends on when records change.
+    pub fn count_read(&self, kind: RecordKind, failed: bool, duration: Option<Duration>) {
+        if !failed {
+            let now = self.driver.process.clock.now();
+            self.driver.store_answered_at.borrow_mut().insert(kind, now);
+        }
+        self.count_store_request(failed, duration);
+    }
+
     /// Counts a request to the store.
     ///
     /// `duration` is `None` for a watch, whose duration depends on when records change.
@@ -184,6 +278,17 @@
     }
 }
 
+impl RecordKind {
+    /// Returns the name of the kind in log lines and metrics.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Desired => "desired",
+            Self::DisabledDomains => "outs",
+            Self::Balancers => "balancers",
+        }
+    }
+}
+
 impl RecordSource {
     /// Returns the name of the source in log lines.
     const fn name(self) -> &'static str {
--- a/crates/lavenderseam_node/src/log/event.rs
+++ b/crates/lavenderseam_node/src/log/event.rs
@@ -91,6 +91,34 @@
         /// Where the set came from: `store` or `balancer`.
         source: &'static str,
     },
+    /// A record was ignored because the process holds a newer one.
+    #[serde(rename = "ignored")]
+    RecordIgnored {
+        /// Name of the record's kind.
+        record: &'static str,
+        /// Revision of the record that was ignored.
+        revision: Revision,
+        /// Version number that the operators gave it; `None` if the kind has no versions.
+        version: Option<u64>,
+        /// Revision of the record that the process holds.
+        held_revision: Revision,
+        /// Version number of the record that the process holds.
+        held_version: Option<u64>,
+        /// Where the ignored record came from: `store` or `balancer`.
+        source: &'static str,
+    },
+    /// All records of a kind were read from the store; watches continue from there.
+    #[serde(rename = "listed")]
+    RecordsListed {
+        /// Name of the kind.
+        record: &'static str,
+        /// Revision of the store at which the records were read.
+        revision: Revision,
+        /// Number of records.
+        records: usize,
+        /// Why the records were listed: `start` or `history gone`.
+        reason: &'static str,
+    },
     /// A balancer has discovered a target, or the state of a target has changed.
     Target {
         /// Address of the target's agent.
@@ -276,6 +304,8 @@
             Self::Dependency { name, .. } => ("dependency", *name),
             Self::Desired { source, .. } => ("desired", *source),
             Self::DisabledDomains { source, .. } => ("outs", *source),
+            Self::RecordIgnored { record, .. } => ("ignored", *record),
+            Self::RecordsListed { record, .. } => ("listed", *record),
             Self::Target { .. } => ("target", ""),
             Self::AgentExpired { .. } => ("forgot", ""),
             Self::BackendStateChanged { reason, .. } => ("backend", *reason),
--- a/crates/lavenderseam_node/src/metrics.rs
+++ b/crates/lavenderseam_node/src/metrics.rs
@@ -10,6 +10,7 @@
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
 use std::fmt::{self, Write};
+use std::sync::atomic::AtomicU64;
 
 use crate::http::{Request, Service, ServiceResponse};
 
@@ -36,6 +37,13 @@
     pub reason: DisplayLabel<Reason>,
 }
 
+/// Label set of metrics that are counted by kind of record.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct RecordLabel {
+    /// Name of the kind.
+    pub record: &'static str,
+}
+
 /// Metrics of a process; each field is named as its metric, without the prefix.
 #[derive(Debug, Default)]
 pub struct Metrics {
@@ -59,6 +67,14 @@
     pub store_errors: Counter,
     /// Number of requests to the store.
     pub store_calls: Counter,
+    /// Number of records that were ignored because a newer one is held, by kind.
+    pub records_ignored: Family<RecordLabel, Counter>,
+    /// Time since the store last answered a list or watch, in seconds, by kind.
+    pub store_age_seconds: Family<RecordLabel, Gauge<f64, AtomicU64>>,
+    /// Version number of the desired state in force; 0 if there is none.
+    pub desired_version: Gauge,
+    /// Store revision of the desired state in force; 0 if there is none.
+    pub desired_revision: Gauge,
     /// Number of flows that the process tracks.
     pub flows: Gauge,
     /// Number of request slots in use: by flows that wait for an answer, or by failed requests.
@@ -98,6 +114,26 @@
             self.store_calls.clone(),
         );
         registry.register("store_errors", "Failed calls", self.store_errors.clone());
+        registry.register(
+            "records_ignored",
+            "Records older than those held",
+            self.records_ignored.clone(),
+        );
+        registry.register(
+            "store_age_seconds",
+            "Time since the store's last answer",
+            self.store_age_seconds.clone(),
+        );
+        registry.register(
+            "desired_version",
+            "Version of the desired state in force",
+            self.desired_version.clone(),
+        );
+        registry.register(
+            "desired_revision",
+            "Revision of the desired state in force",
+            self.desired_revision.clone(),
+        );
         registry.register("flows", "Flows known", self.flows.clone());
         registry.register("busy", "Flows that wait for an answer", self.busy.clone());
         let store_histogram = self.store_seconds.0.clone();
--- a/crates/lavenderseam_node/tests/metrics.rs
+++ b/crates/lavenderseam_node/tests/metrics.rs
@@ -1,7 +1,7 @@
 //! The text that the metrics endpoint serves.
 
 use googletest::prelude::*;
-use lavenderseam_node::metrics::{DisplayLabel, Metrics, ReasonLabel};
+use lavenderseam_node::metrics::{DisplayLabel, Metrics, ReasonLabel, RecordLabel};
 use lavenderseam_passthrough::message::Reason;
 
 #[gtest]
@@ -24,3 +24,20 @@
         contains_substring("answer_seconds_bucket{le=\"0.05\"} 1")
     );
 }
+
+#[gtest]
+fn encoded_text_names_the_kind_of_records() {
+    let metrics = Metrics::default();
+    let label = RecordLabel { record: "desired" };
+    metrics.records_ignored.get_or_create(&label).inc();
+    metrics.store_age_seconds.get_or_create(&label).set(1.5);
+    let text = metrics.encode_text();
+    expect_that!(
+        text,
+        contains_substring("records_ignored_total{record=\"desired\"} 1")
+    );
+    expect_that!(
+        text,
+        contains_substring("store_age_seconds{record=\"desired\"} 1.5")
+    );
+}
