Let the bench's platform return from an older copy

Change: the fault store_restore makes the object API unavailable for its duration and then undoes the changes of the last milliseconds; their revisions are assigned again, all answers carry the number of restores, a watch from an unknown revision gets 410, and waiting watches keep waiting. Operators write again what was lost after 1 s. Random experiments draw it.

--- a/crates/lavenderseam_bench/src/run/fault_injector.rs
+++ b/crates/lavenderseam_bench/src/run/fault_injector.rs
@@ -18,6 +18,9 @@
 /// Interval at which the schedule and the processes are checked.
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
 
+/// Delay after which operators write again what a return from an older copy lost, in milliseconds.
+const REWRITE_DELAY_MS: u64 = 1_000;
+
 /// Injects the faults of a schedule into a cluster.
 pub(crate) struct FaultInjector<'a> {
     cluster: &'a mut Cluster,
@@ -356,6 +359,18 @@
                 let control = self.backend_control_address(target)?;
                 http_client::post_json(control, FAULT_PATH, &backend::Fault::Lie { lie }).await
             }
+            (Action::StoreRestore, Subject::AgeMs(age_ms)) => {
+                let control = network.platform_control();
+                if !on {
+                    let fault = platform::Fault::Restore {
+                        age_ms: *age_ms,
+                        rewrite_after_ms: REWRITE_DELAY_MS,
+                    };
+                    http_client::post_json(control, FAULT_PATH, &fault).await?;
+                }
+                let outage = platform::Fault::Down { on };
+                http_client::post_json(control, FAULT_PATH, &outage).await
+            }
             (Action::StoreDown | Action::StoreSlow | Action::StoreLoseAnswers, subject) => {
                 let fault = object_api_fault(fault.action, subject, on);
                 http_client::post_json(network.platform_control(), FAULT_PATH, &fault).await
--- a/crates/lavenderseam_bench/src/run/observations.rs
+++ b/crates/lavenderseam_bench/src/run/observations.rs
@@ -343,7 +343,11 @@
         }
         Subject::Target(target) | Subject::Lie { target, .. } => *target == placement.target,
         Subject::Domain(domain) => domain == placement.domain,
-        Subject::Store | Subject::Flows(_) | Subject::DelayMs(_) | Subject::Percent(_) => false,
+        Subject::Store
+        | Subject::Flows(_)
+        | Subject::DelayMs(_)
+        | Subject::AgeMs(_)
+        | Subject::Percent(_) => false,
     }
 }
 
--- a/crates/lavenderseam_bench/src/schedule/action.rs
+++ b/crates/lavenderseam_bench/src/schedule/action.rs
@@ -34,6 +34,9 @@
     StoreSlow,
     /// Drops responses of the object API to writes that have taken effect.
     StoreLoseAnswers,
+    /// Makes the object API unavailable for the duration, after which it returns with an older copy
+    /// of its objects.
+    StoreRestore,
     /// Takes a failure domain out of service.
     DomainOut,
     /// Brings a failure domain back into service.
@@ -73,6 +76,8 @@
     },
     /// Delay of each response, in milliseconds.
     DelayMs(u64),
+    /// Age of the copy that the object API returns with, in milliseconds.
+    AgeMs(u64),
     /// Share of the writes whose responses are dropped, in percent.
     Percent(u8),
 }
@@ -92,7 +97,7 @@
 
 impl Action {
     /// All actions with their names in experiment files.
-    pub const ALL: [(Self, &'static str); 14] = [
+    pub const ALL: [(Self, &'static str); 15] = [
         (Self::Kill, "kill"),
         (Self::Freeze, "freeze"),
         (Self::Restart, "restart"),
@@ -103,6 +108,7 @@
         (Self::StoreDown, "store_down"),
         (Self::StoreSlow, "store_slow"),
         (Self::StoreLoseAnswers, "store_lose_answers"),
+        (Self::StoreRestore, "store_restore"),
         (Self::DomainOut, "domain_out"),
         (Self::DomainIn, "domain_in"),
         (Self::Drain, "drain"),
@@ -133,6 +139,7 @@
             Self::Lie => "TARGET:healthy, TARGET:unhealthy, TARGET:idle or TARGET:full",
             Self::StoreDown => "no subject",
             Self::StoreSlow => "a delay such as \"300ms\"",
+            Self::StoreRestore => "the age of the copy such as \"4000ms\"",
             Self::StoreLoseAnswers => "a share such as \"50%\", at most 100%",
             Self::DomainOut | Self::DomainIn | Self::Race => "a failure domain of the deployment",
         }
@@ -177,6 +184,7 @@
             Some(Subject::Lie { target, lie })
         }
         Action::StoreDown => text.is_empty().then_some(Subject::Store),
+        Action::StoreRestore => text.strip_suffix("ms")?.parse().ok().map(Subject::AgeMs),
         Action::StoreSlow => text.strip_suffix("ms")?.parse().ok().map(Subject::DelayMs),
         Action::StoreLoseAnswers => {
             let percent: u8 = text.strip_suffix('%')?.parse().ok()?;
@@ -248,7 +256,9 @@
             Self::Link { service, process } => write!(formatter, "{service}/{process}"),
             Self::Flows(count) => write!(formatter, "flows:{count}"),
             Self::Lie { target, lie } => write!(formatter, "{target}:{lie:?}"),
-            Self::DelayMs(milliseconds) => write!(formatter, "{milliseconds}ms"),
+            Self::DelayMs(milliseconds) | Self::AgeMs(milliseconds) => {
+                write!(formatter, "{milliseconds}ms")
+            }
             Self::Percent(percent) => write!(formatter, "{percent}%"),
         }
     }
--- a/crates/lavenderseam_bench/src/schedule/random_experiment.rs
+++ b/crates/lavenderseam_bench/src/schedule/random_experiment.rs
@@ -82,6 +82,7 @@
             ][rng.random_range(0..4)],
         },
         Action::StoreDown => Subject::Store,
+        Action::StoreRestore => Subject::AgeMs(rng.random_range(1_000..5_000)),
         Action::StoreSlow => Subject::DelayMs(rng.random_range(100..1_000)),
         Action::StoreLoseAnswers => Subject::Percent(rng.random_range(20..=100)),
         Action::DomainOut | Action::DomainIn | Action::Race => {
--- a/crates/lavenderseam_bench/src/stand_ins/platform/fault.rs
+++ b/crates/lavenderseam_bench/src/stand_ins/platform/fault.rs
@@ -21,6 +21,14 @@
         /// Percentage of writes whose response is dropped; 0 ends the fault.
         percent: u8,
     },
+    /// Replaces the objects by a copy, as after a loss of the store. Revisions after that of the
+    /// copy are assigned again.
+    Restore {
+        /// Minimum age of the copy, in milliseconds.
+        age_ms: u64,
+        /// Delay after which the operators write again what they had written, in milliseconds.
+        rewrite_after_ms: u64,
+    },
 }
 
 /// Faults that are active.
@@ -37,6 +45,7 @@
             Fault::Down { on } => self.down = on,
             Fault::Slow { delay_ms } => self.delay_ms = delay_ms,
             Fault::LoseAnswers { percent } => self.lost_percent = percent,
+            Fault::Restore { .. } => {}
         }
     }
 }
--- a/crates/lavenderseam_bench/src/stand_ins/platform/mod.rs
+++ b/crates/lavenderseam_bench/src/stand_ins/platform/mod.rs
@@ -2,7 +2,8 @@
 //! watches, rate limits and a size limit.
 //!
 //! Faults: an outage, in which connections close without a response and nothing is written, slow
-//! responses, and responses that are dropped after the write took effect.
+//! responses, responses that are dropped after the write took effect, and a return from an older
+//! copy, which loses writes and assigns their revisions again.
 
 mod fault;
 mod objects;
--- a/crates/lavenderseam_bench/src/stand_ins/platform/objects.rs
+++ b/crates/lavenderseam_bench/src/stand_ins/platform/objects.rs
@@ -1,6 +1,7 @@
 //! Versioned in-memory objects with conditional writes and a bounded change history.
 
 use std::collections::{BTreeMap, VecDeque};
+use std::time::Instant;
 
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
@@ -35,6 +36,15 @@
     pub document: Option<Value>,
 }
 
+/// A change with what is needed to undo it.
+#[derive(Clone, Debug)]
+struct UndoableChange {
+    change: Change,
+    /// Object before the change; `None` if it didn't exist.
+    previous: Option<Object>,
+    written_at: Instant,
+}
+
 /// All objects, or the changes after a revision.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Listing<T> {
@@ -60,7 +70,8 @@
     Conflict(Option<u64>),
     /// The object doesn't exist.
     Missing,
-    /// Changes after the requested revision were already removed from the history.
+    /// Changes after the requested revision were already removed from the history, or the store
+    /// doesn't have this revision.
     Compacted,
     /// The object exceeds 1 MiB.
     Oversized,
@@ -71,7 +82,9 @@
 pub struct ObjectStore {
     revision: u64,
     objects: BTreeMap<Id, Object>,
-    history: VecDeque<Change>,
+    history: VecDeque<UndoableChange>,
+    /// Revision of each copy that the objects were replaced by.
+    restored_revisions: Vec<u64>,
 }
 
 impl ObjectStore {
@@ -152,24 +165,62 @@
     ///
     /// Returns [`Rejection::Compacted`] if the history no longer holds all of them.
     pub fn changes(&self, after: u64) -> Result<Listing<Change>, Rejection> {
-        let compacted_revision = self.history.front().map_or(0, |first| first.revision - 1);
+        let first = self.history.front();
+        let compacted_revision = first.map_or(0, |first| first.change.revision - 1);
         if after < compacted_revision {
             return Err(Rejection::Compacted);
         }
-        let newer = self.history.iter().filter(|entry| entry.revision > after);
+        let changes = self.history.iter().map(|undoable| &undoable.change);
+        let newer = changes.filter(|change| change.revision > after);
         Ok(Listing {
             revision: self.revision,
             entries: newer.cloned().collect(),
         })
     }
 
+    /// Returns the number of times that the objects were replaced by a copy.
+    #[must_use]
+    pub fn epoch(&self) -> u64 {
+        self.restored_revisions.len() as u64
+    }
+
+    /// Returns the revision of each copy that the objects were replaced by.
+    #[must_use]
+    pub fn restored_revisions(&self) -> &[u64] {
+        &self.restored_revisions
+    }
+
+    /// Undoes all changes after `time`, whose revisions are then assigned again. Returns the undone
+    /// changes, newest first.
+    pub fn restore(&mut self, time: Instant) -> Vec<Change> {
+        let mut undone = Vec::new();
+        while let Some(undoable) = self.history.pop_back_if(|last| last.written_at > time) {
+            let UndoableChange {
+                change, previous, ..
+            } = undoable;
+            let id = (change.kind.clone(), change.name.clone());
+            match previous {
+                Some(previous) => self.objects.insert(id, previous),
+                None => self.objects.remove(&id),
+            };
+            self.revision = change.revision - 1;
+            undone.push(change);
+        }
+        self.restored_revisions.push(self.revision);
+        undone
+    }
+
     fn append_change(&mut self, kind: &str, name: &str, document: Option<Value>) {
         self.revision += 1;
-        self.history.push_back(Change {
-            revision: self.revision,
-            kind: kind.to_owned(),
-            name: name.to_owned(),
-            document,
+        self.history.push_back(UndoableChange {
+            change: Change {
+                revision: self.revision,
+                kind: kind.to_owned(),
+                name: name.to_owned(),
+                document,
+            },
+            previous: self.get(kind, name).cloned(),
+            written_at: Instant::now(),
         });
         if self.history.len() > MAX_HISTORY_CHANGES {
             self.history.pop_front();
--- a/crates/lavenderseam_bench/src/stand_ins/platform/report.rs
+++ b/crates/lavenderseam_bench/src/stand_ins/platform/report.rs
@@ -26,4 +26,7 @@
     pub bytes: BTreeMap<IpAddr, u64>,
     /// Revision of the last write.
     pub revision: u64,
+    /// Revision of each copy that the objects were replaced by.
+    #[serde(default)]
+    pub restored_revisions: Vec<u64>,
 }
--- a/crates/lavenderseam_bench/src/stand_ins/platform/routes.rs
+++ b/crates/lavenderseam_bench/src/stand_ins/platform/routes.rs
@@ -102,6 +102,9 @@
 
 async fn watch(State(platform): State<Arc<Platform>>, Query(watch): Query<Watch>) -> Response {
     let mut latest_revision = platform.latest_revision.subscribe();
+    if watch.after > *latest_revision.borrow() {
+        return Rejection::Compacted.into_response();
+    }
     let timeout = Duration::from_millis(watch.wait_ms).min(MAX_WATCH_TIMEOUT);
     let deadline = Instant::now() + timeout;
     // A timeout isn't an error: the response then has no entries.
--- a/crates/lavenderseam_bench/src/stand_ins/platform/serve.rs
+++ b/crates/lavenderseam_bench/src/stand_ins/platform/serve.rs
@@ -1,5 +1,6 @@
 //! Process of the simulated platform: rate limits, faults and counts around the calls.
 
+use std::collections::BTreeMap;
 use std::fmt;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -27,13 +28,18 @@
 
 use super::Settings;
 use super::fault::{Fault, Faults};
-use super::objects::{ObjectStore, Rejection};
+use super::objects::{Change, ObjectStore, Precondition, Rejection};
 use super::report::Report;
 use super::routes::{self, WriteApplied};
 use super::token_bucket::TokenBucket;
 use crate::Error;
 use crate::stand_ins::{FAULT_PATH, REPORT_PATH, bind};
 
+/// Header of all responses: number of times that the objects were replaced by a copy.
+const EPOCH_HEADER: &str = "store-epoch";
+/// Kinds of objects that operators write.
+const OPERATOR_KINDS: [&str; 4] = ["Service", "BackendGroup", "FailureDomain", "Drain"];
+
 /// State of the simulated platform.
 pub(crate) struct Platform {
     pub(crate) objects: Mutex<ObjectStore>,
@@ -83,8 +89,7 @@
         match outcome {
             Ok(revision) => {
                 self.report.lock().writes += 1;
-                self.latest_revision
-                    .send_modify(|latest| *latest = revision.max(*latest));
+                self.latest_revision.send_replace(revision);
                 let mut response = Json(json!({ "revision": revision })).into_response();
                 response.extensions_mut().insert(WriteApplied);
                 response
@@ -127,7 +132,7 @@
         if delay > 0 {
             tokio::time::sleep(Duration::from_millis(delay)).await;
         }
-        let response = match self.check_rate_limit(&method) {
+        let mut response = match self.check_rate_limit(&method) {
             Ok(()) => route_call(router, request).await,
             Err(wait) => {
                 self.report.lock().throttled += 1;
@@ -136,9 +141,59 @@
                 (StatusCode::TOO_MANY_REQUESTS, headers).into_response()
             }
         };
+        let epoch = self.objects.lock().epoch();
+        response.headers_mut().insert(EPOCH_HEADER, epoch.into());
         self.deliver(client, response)
     }
 
+    /// Replaces the objects by a copy that is at least `age` old. Watches keep waiting.
+    ///
+    /// Returns the last lost change of each object that operators write.
+    fn restore(&self, age: Duration) -> Vec<Change> {
+        let mut objects = self.objects.lock();
+        let now = std::time::Instant::now();
+        let undone = objects.restore(now.checked_sub(age).unwrap_or(now));
+        self.latest_revision.send_replace(objects.revision());
+        let mut last_changes = BTreeMap::new();
+        for change in undone {
+            if OPERATOR_KINDS.contains(&change.kind.as_str()) {
+                let id = (change.kind.clone(), change.name.clone());
+                last_changes.entry(id).or_insert(change);
+            }
+        }
+        last_changes.into_values().collect()
+    }
+
+    /// Writes again what operators had written, except objects that were written since.
+    fn write_again(&self, lost: Vec<Change>) {
+        let mut objects = self.objects.lock();
+        let restored_revision = objects.restored_revisions().last().copied().unwrap_or(0);
+        for Change {
+            kind,
+            name,
+            document,
+            ..
+        } in lost
+        {
+            let current = objects.get(&kind, &name).map(|object| object.revision);
+            if current.is_some_and(|revision| revision > restored_revision) {
+                continue;
+            }
+            let written = match (document, current) {
+                (Some(document), None) => objects.put(&kind, &name, document, Precondition::Absent),
+                (Some(document), Some(revision)) => {
+                    objects.put(&kind, &name, document, Precondition::At(revision))
+                }
+                (None, Some(revision)) => objects.delete(&kind, &name, revision),
+                (None, None) => continue,
+            };
+            if let Err(rejection) = written {
+                println!("           {kind}/{name} wasn't written again: {rejection:?}");
+            }
+        }
+        self.latest_revision.send_replace(objects.revision());
+    }
+
     /// Returns the response, or an error if a fault drops it.
     fn deliver(&self, client: SocketAddr, response: Response) -> Result<Response, ResponseDropped> {
         let write_applied = response.extensions().get::<WriteApplied>().is_some();
@@ -232,11 +287,25 @@
 
 async fn report(State(platform): State<Arc<Platform>>) -> Json<Report> {
     let mut report = platform.report.lock().clone();
-    report.revision = platform.objects.lock().revision();
+    let objects = platform.objects.lock();
+    report.revision = objects.revision();
+    report.restored_revisions = objects.restored_revisions().to_vec();
+    drop(objects);
     Json(report)
 }
 
 async fn fault(State(platform): State<Arc<Platform>>, Json(fault): Json<Fault>) -> StatusCode {
     platform.faults.lock().apply(fault);
+    if let Fault::Restore {
+        age_ms,
+        rewrite_after_ms,
+    } = fault
+    {
+        let lost = platform.restore(Duration::from_millis(age_ms));
+        tokio::spawn(async move {
+            tokio::time::sleep(Duration::from_millis(rewrite_after_ms)).await;
+            platform.write_again(lost);
+        });
+    }
     StatusCode::NO_CONTENT
 }
--- a/crates/lavenderseam_bench/tests/platform.rs
+++ b/crates/lavenderseam_bench/tests/platform.rs
@@ -139,3 +139,41 @@
     }
     expect_that!(rejected, ge(1));
 }
+
+/// A restored store loses acknowledged writes, assigns their revisions again, and rejects a watch
+/// from a revision that it doesn't have; operators' writes come back, others don't.
+#[gtest]
+#[tokio::test]
+async fn a_return_from_a_copy_loses_writes_and_assigns_revisions_again() {
+    let network = start(400).await;
+    expect_that!(create(network, "a").await, some(eq(StatusCode::OK)));
+    tokio::time::sleep(Duration::from_millis(600)).await;
+    expect_that!(create(network, "b").await, some(eq(StatusCode::OK)));
+    expect_that!(create(network, "c").await, some(eq(StatusCode::OK)));
+    let restore = Fault::Restore {
+        age_ms: 400,
+        rewrite_after_ms: 200,
+    };
+    inject(network, restore).await;
+    let lost = status(network, Method::GET, "/v1/objects/Drain/b").await;
+    expect_that!(lost, some(eq(StatusCode::NOT_FOUND)));
+    let kept = status(network, Method::GET, "/v1/objects/Drain/a").await;
+    expect_that!(kept, some(eq(StatusCode::OK)));
+    let watch = status(network, Method::GET, "/v1/watch?after=3&wait_ms=10").await;
+    expect_that!(watch, some(eq(StatusCode::GONE)));
+    tokio::time::sleep(Duration::from_millis(400)).await;
+    let path = "/v1/watch?after=1&wait_ms=10";
+    let changes: Listing<Change> = http_client::get_json(network.object_api(), path)
+        .await
+        .unwrap();
+    let revisions: Vec<u64> = changes
+        .entries
+        .iter()
+        .map(|change| change.revision)
+        .collect();
+    expect_that!(revisions, elements_are![eq(&2), eq(&3)]);
+    let report: Report = http_client::get_json(network.platform_control(), REPORT_PATH)
+        .await
+        .unwrap();
+    expect_that!(report.restored_revisions, elements_are![eq(&1)]);
+}
