List the records after a watch of the store has expired

Seen: a process whose watch the store answers with 410 asked for the same revision again, forever, and took nothing more from the store; peers hid it unless all watchers were affected at once, as after a restore from a copy or a compaction.

Cause: an expired watch discarded the revision to resume from, and the next call then fell back to the catalog's complete revision, which is at least as old.

Change: the next call after an expired watch is a list, until one succeeds.

Result: an_expired_watch_is_followed_by_a_list failed before (WatchStore after revision 5 instead of ListStore) and passes; all tests of the core pass.

--- a/crates/lavenderseam_core/src/relay/node/store.rs
+++ b/crates/lavenderseam_core/src/relay/node/store.rs
@@ -28,6 +28,8 @@
     /// Revision that the next watch starts from; `None` starts from the catalog's complete
     /// revision.
     resume_after: Option<Revision>,
+    /// `true` if the next call must list the records, since the store can't continue a watch.
+    must_list: bool,
     next_call_at: Instant,
     /// The best-ranked process known to have queried the store recently.
     pub(super) leader: Option<Leader>,
@@ -48,15 +50,18 @@
             is_active: false,
             call_in_flight: false,
             resume_after: None,
+            must_list: false,
             next_call_at: now,
             leader: None,
         }
     }
 
-    /// Ends the call in flight and discards the revision to resume from.
+    /// Ends the call in flight, whose revision the store can't continue from; the next call lists
+    /// all records.
     pub(super) fn handle_outdated_watch(&mut self) {
         self.call_in_flight = false;
         self.resume_after = None;
+        self.must_list = true;
     }
 }
 
@@ -69,6 +74,7 @@
         revision: Revision,
         actions: &mut Vec<Action>,
     ) {
+        self.store_watch.must_list = false;
         let present: BTreeSet<Id> = entries.iter().map(|entry| entry.id.clone()).collect();
         self.apply_entries(entries, None, actions);
         let deleted = self
@@ -152,7 +158,7 @@
             .store_watch
             .resume_after
             .unwrap_or(self.catalog.complete_revision());
-        if after == Revision(0) {
+        if after == Revision(0) || self.store_watch.must_list {
             actions.push(Action::ListStore);
             return;
         }
