Order records by the store's epoch before the number of the write

A watch could continue in the new history and miss changes.

Cause: every holder of records keeps what has the highest revision, and a restored store assigns its numbers again. The number alone identifies neither a write nor a position in the history. This is the class of fault in which a counter is compared across a reset of its source.

Change: a revision has an epoch above its number, the count of restores that the store sends with each answer; it stays one integer on the wire and orders as before. A watch position or write condition of another epoch is void. The order alone would let the copy undo accepted changes, so a catalog that has seen a new epoch ignores writes that it knows to be superseded and keeps records that the store lacks, for 10 s or until they are written again; the grace period ends everywhere at once, with a list by each watcher. Records that the restore left alone move to the new epoch without being sent. Digests compare numbers and contents, not epochs, so equal records cost nothing. A process whose registration is under a minute old checks it within a second. The watch command prints what differs rather than every record.

--- a/crates/lavenderseam_bench/src/slope/cost.rs
+++ b/crates/lavenderseam_bench/src/slope/cost.rs
@@ -90,6 +90,7 @@
     Stamp {
         complete: node.catalog().complete_revision(),
         root: node.catalog().digest().root(),
+        restore: None,
         age_ms: Some(0),
         watcher: MemberId(1),
         watcher_age_ms: Some(0),
--- a/crates/lavenderseam_cli/src/command/watch.rs
+++ b/crates/lavenderseam_cli/src/command/watch.rs
@@ -1,11 +1,12 @@
 //! The `watch` command, which prints record changes as they occur.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use argh::FromArgs;
 use lavenderseam_core::catalog::{Entry, Revision};
-use lavenderseam_core::record::Kind;
-use lavenderseam_platform::{self as platform, Store};
+use lavenderseam_core::record::{Id, Kind};
+use lavenderseam_platform::{self as platform, ListResponse, Store};
 
 use super::read;
 use crate::deadline_store::DeadlineStore;
@@ -31,8 +32,8 @@
 /// Passes each change to `print` until the requested number of changes is reached.
 ///
 /// Calls are retried while the store is unavailable. No change is printed twice or out of order. If
-/// the store no longer keeps the changes since the last call, the current records are printed
-/// instead.
+/// the store no longer keeps the changes since the last call, the records that differ since then
+/// are printed instead.
 ///
 /// # Errors
 ///
@@ -42,10 +43,10 @@
     arguments: &Watch,
     mut print: impl FnMut(Report),
 ) -> Result<(), Error> {
-    let mut last_revision = store.list().await?.revision;
+    let mut seen = SeenRecords::new(store.list().await?);
     let mut remaining = arguments.count.unwrap_or(usize::MAX);
     while remaining > 0 {
-        for entry in next_changes(store.inner(), &mut last_revision).await {
+        for entry in next_changes(store.inner(), &mut seen).await {
             let is_selected = arguments.kind.is_none_or(|kind| kind == entry.id.kind);
             if is_selected && remaining > 0 {
                 remaining -= 1;
@@ -56,21 +57,72 @@
     Ok(())
 }
 
-/// Returns the changes after a revision and advances it; none if the call fails or times out.
-async fn next_changes<S: Store>(store: &S, last_revision: &mut Revision) -> Vec<Entry> {
-    let response = match store.watch(*last_revision, WATCH_TIMEOUT).await {
-        Err(platform::Error::RevisionExpired) => store.list().await,
-        other => other,
-    };
-    let Ok(list) = response else {
-        tokio::time::sleep(RETRY_DELAY).await;
-        return Vec::new();
+/// Returns the changes since the records were last seen; none if the call fails or times out.
+async fn next_changes<S: Store>(store: &S, seen: &mut SeenRecords) -> Vec<Entry> {
+    let changes = match store.watch(seen.revision, WATCH_TIMEOUT).await {
+        Ok(changes) => Ok(seen.apply_changes(changes)),
+        Err(platform::Error::RevisionExpired) => {
+            store.list().await.map(|list| seen.apply_list(list))
+        }
+        Err(error) => Err(error),
     };
-    let is_newer = |entry: &Entry| entry.revision > *last_revision;
-    let mut entries: Vec<Entry> = list.entries.into_iter().filter(is_newer).collect();
-    entries.sort_by_key(|entry| entry.revision);
-    *last_revision = (*last_revision).max(list.revision);
-    entries
+    match changes {
+        Ok(changes) => changes,
+        Err(_) => {
+            tokio::time::sleep(RETRY_DELAY).await;
+            Vec::new()
+        }
+    }
+}
+
+/// Records as last seen in the store.
+struct SeenRecords {
+    entries: BTreeMap<Id, Entry>,
+    /// Revision after which the next watch starts.
+    revision: Revision,
+}
+
+impl SeenRecords {
+    fn new(list: ListResponse) -> Self {
+        let with_id = |entry: Entry| (entry.id.clone(), entry);
+        Self {
+            revision: list.revision,
+            entries: list.entries.into_iter().map(with_id).collect(),
+        }
+    }
+
+    /// Applies the response to a watch and returns the changes in it.
+    fn apply_changes(&mut self, changes: ListResponse) -> Vec<Entry> {
+        let is_newer = |entry: &Entry| entry.revision > self.revision;
+        let mut entries: Vec<Entry> = changes.entries.into_iter().filter(is_newer).collect();
+        entries.sort_by_key(|entry| entry.revision);
+        for entry in &entries {
+            if entry.document.is_some() {
+                self.entries.insert(entry.id.clone(), entry.clone());
+            } else {
+                self.entries.remove(&entry.id);
+            }
+        }
+        self.revision = self.revision.max(changes.revision);
+        entries
+    }
+
+    /// Replaces the records by a list and returns those that differ or are gone.
+    fn apply_list(&mut self, list: ListResponse) -> Vec<Entry> {
+        let listed = Self::new(list);
+        let is_gone = |entry: &&Entry| !listed.entries.contains_key(&entry.id);
+        let gone = self.entries.values().filter(is_gone);
+        let gone = gone.map(|entry| Entry::deletion(entry.id.clone(), listed.revision));
+        let differs = |entry: &&Entry| {
+            let seen = self.entries.get(&entry.id);
+            seen.is_none_or(|seen| seen.document != entry.document)
+        };
+        let changed = listed.entries.values().filter(differs).cloned();
+        let mut changes: Vec<Entry> = changed.chain(gone).collect();
+        changes.sort_by_key(|entry| entry.revision);
+        *self = listed;
+        changes
+    }
 }
 
 fn report(entry: &Entry) -> Report {
--- a/crates/lavenderseam_cli/tests/asking.rs
+++ b/crates/lavenderseam_cli/tests/asking.rs
@@ -205,3 +205,37 @@
         elements_are![starts_with("Target/t-1"), starts_with("Target/t-2")]
     );
 }
+
+/// Guards against a watch that prints every record as changed after a restore of the store, or
+/// omits what the restore undid.
+#[gtest]
+#[tokio::test]
+async fn watch_prints_what_a_restore_changed() {
+    let store = FakeStore::new();
+    let put = |name: &str| Document::new(Kind::FailureDomain, name, Schema(1));
+    store.put(&put("a"), Condition::Absent).await.unwrap();
+    let snapshot = store.snapshot();
+    store.put(&put("b"), Condition::Absent).await.unwrap();
+    let client = DeadlineStore::new(&store, Duration::from_secs(5));
+    let arguments = Watch {
+        kind: None,
+        count: Some(2),
+    };
+    let mut lines = Vec::new();
+    let watching = watch(&client, &arguments, |report| lines.push(report.text));
+    let restoring = async {
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        store.restore(snapshot);
+        store.put(&put("c"), Condition::Absent).await.unwrap();
+    };
+    let (watched, ()) = tokio::join!(watching, restoring);
+    watched.unwrap();
+    lines.sort();
+    expect_that!(
+        lines,
+        elements_are![
+            contains_substring("FailureDomain/b revision 1:"),
+            contains_substring("FailureDomain/c revision 1:2")
+        ]
+    );
+}
--- a/crates/lavenderseam_control/src/control_state.rs
+++ b/crates/lavenderseam_control/src/control_state.rs
@@ -4,19 +4,28 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use lavenderseam_core::catalog::{Entry, Revision};
+use lavenderseam_core::catalog::restore::MAX_COPY_AGE;
+use lavenderseam_core::catalog::{Entry, Epoch, Revision};
 use lavenderseam_core::record::{Id, Kind};
 use lavenderseam_core::relay::{Action, Answer, Confirmation, Event, MemberId, Node, Pull, Push};
+use lavenderseam_core::time::Instant;
 use lavenderseam_platform::conditional_write::{self as write, RetryPolicy, UpdateOutcome};
 use lavenderseam_platform::{Error, ListResponse, Store};
 use lavenderseam_telemetry::{Log, Metrics};
 use parking_lot::Mutex;
+use rand::RngExt as _;
+use rand::rand_core::UnwrapErr;
+use rand::rngs::SysRng;
 use tokio::sync::{Notify, mpsc};
 
 use crate::clock::Clock;
 use crate::rpc::RpcClient;
 use crate::{CurrentView, ForwardingGate, Identity, ProbeReplies, Role, server};
 
+/// Upper bound of the random delay after a restore of the store before this process writes its
+/// record again, so that the processes don't all do so at once.
+const MAX_REWRITE_DELAY: Duration = Duration::from_secs(1);
+
 /// Update for the task that compiles and publishes routing views.
 pub(crate) enum ViewUpdate {
     /// Records that have changed.
@@ -38,8 +47,10 @@
     pub(crate) view_updates: mpsc::UnboundedSender<ViewUpdate>,
     /// Queue of the task that probes targets; balancers only.
     pub(crate) probe_updates: Option<mpsc::UnboundedSender<Arc<[Entry]>>>,
-    /// Notified when another writer has deleted the record of this process.
-    pub(crate) own_record_deleted: Notify,
+    /// Notified when the store may no longer hold the record of this process as last written.
+    pub(crate) own_record_lost: Notify,
+    /// Time at which this process last wrote its record.
+    pub(crate) own_record_written_at: Mutex<Option<Instant>>,
     pub(crate) current_view: Arc<CurrentView>,
     pub(crate) forwarding_gate: Arc<ForwardingGate>,
     pub(crate) probe_replies: Arc<ProbeReplies>,
@@ -88,6 +99,7 @@
                 Action::ListStore => self.spawn(|state, ()| state.list_store(), ()),
                 Action::WatchStore { after, wait } => self.spawn(Self::watch_store, (after, wait)),
                 Action::CompileView(entries) => self.distribute_changes(entries.into()),
+                Action::StoreRestored(epoch) => self.handle_restore(epoch),
                 Action::DeleteBalancer { id, revision } => {
                     self.spawn(Self::delete_record, (id, revision));
                 }
@@ -199,6 +211,25 @@
         }
     }
 
+    /// Has the record of this process written again if a restored store may lack it.
+    fn handle_restore(self: &Arc<Self>, epoch: Epoch) {
+        self.metrics.count("store.restored", 1);
+        self.log.warn(format_args!(
+            "the store was restored from a copy (epoch {epoch}); keeping newer records until they are written again"
+        ));
+        let written_at = *self.own_record_written_at.lock();
+        let age = written_at.map(|written_at| self.clock.now().since(written_at));
+        if age.is_none_or(|age| age > MAX_COPY_AGE) {
+            return;
+        }
+        let delay = MAX_REWRITE_DELAY.mul_f64(UnwrapErr(SysRng).random_range(0.0..1.0));
+        let state = Arc::clone(self);
+        tokio::spawn(async move {
+            tokio::time::sleep(delay).await;
+            state.own_record_lost.notify_one();
+        });
+    }
+
     /// Queues changed records for the tasks that use them.
     fn distribute_changes(&self, entries: Arc<[Entry]>) {
         let changed = u64::try_from(entries.len()).unwrap_or(u64::MAX);
@@ -206,7 +237,7 @@
         let own_id = self.own_record_id();
         let is_own_deletion = |entry: &Entry| entry.id == own_id && entry.document.is_none();
         if entries.iter().any(is_own_deletion) {
-            self.own_record_deleted.notify_one();
+            self.own_record_lost.notify_one();
         }
         if let Some(updates) = &self.probe_updates {
             let _ = updates.send(Arc::clone(&entries));
--- a/crates/lavenderseam_control/src/registration.rs
+++ b/crates/lavenderseam_control/src/registration.rs
@@ -46,7 +46,12 @@
     }
     drop(drain_guard);
     let mut stopping = shutdown;
-    stopping.wait_for_terminating().await;
+    loop {
+        tokio::select! {
+            () = stopping.wait_for_terminating() => break,
+            () = state.own_record_lost.notified() => announce_stop(&state).await,
+        }
+    }
     if tokio::time::timeout(STOP_UPDATE_TIMEOUT, delete_after_drain(&state))
         .await
         .is_err()
@@ -57,8 +62,8 @@
     }
 }
 
-/// Writes the record of this process whenever its lifecycle phase changes or another writer deletes
-/// it, until a planned stop begins. Failed writes are retried with exponential backoff.
+/// Writes the record of this process whenever its lifecycle phase changes or the store has lost it,
+/// until a planned stop begins. Failed writes are retried with exponential backoff.
 async fn announce_until_draining<S: Store>(
     state: &Arc<ControlState<S>>,
     announcement: &AnnouncedPhase,
@@ -89,7 +94,7 @@
         };
         tokio::select! {
             _ = announced_phase.changed() => {}
-            () = state.own_record_deleted.notified() => {}
+            () = state.own_record_lost.notified() => {}
             () = sleep_or_pending(retry_delay) => {}
             () = shutdown.wait_for_draining() => {}
         }
@@ -186,7 +191,10 @@
     let id = state.own_record_id();
     let entry =
         match conditional_write::update(&state.store, &id, RetryPolicy::default(), decide).await? {
-            UpdateOutcome::Written(entry) => Some(entry),
+            UpdateOutcome::Written(entry) => {
+                *state.own_record_written_at.lock() = Some(state.clock.now());
+                Some(entry)
+            }
             UpdateOutcome::Unchanged(current) => current,
         };
     if let Some(entry) = entry {
--- a/crates/lavenderseam_control/src/status.rs
+++ b/crates/lavenderseam_control/src/status.rs
@@ -79,7 +79,7 @@
         name,
         role: role.to_owned(),
         incarnation: control.identity.incarnation,
-        digest: catalog.digest().root(),
+        digest: catalog.digest().root().records,
         head: catalog.highest_revision(),
         view: control.current_view.get().revision(),
         gate: control.forwarding_gate.is_open(),
--- a/crates/lavenderseam_control/tests/control.rs
+++ b/crates/lavenderseam_control/tests/control.rs
@@ -317,3 +317,40 @@
     })
     .await;
 }
+
+/// Guards against a process that stays unregistered because a restore of the store discarded its
+/// record.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_registration_that_a_restore_discarded_is_written_again() {
+    let store = Arc::new(FakeStore::new());
+    let snapshot = store.snapshot();
+    let processes = start_cluster(&store).await;
+    set_domain(&store, DomainState::Out).await;
+    for process in &processes {
+        wait_until("the domain is out", async || is_domain_out(process)).await;
+    }
+    store.restore(snapshot);
+    for index in 0..3 {
+        wait_until("the target is registered", async || {
+            read::<Target>(&store, &format!("target-{index}"))
+                .await
+                .is_some()
+        })
+        .await;
+        wait_until("the balancer is registered", async || {
+            read::<Balancer>(&store, &format!("balancer-{index}"))
+                .await
+                .is_some()
+        })
+        .await;
+    }
+    // The lost change is still in force; the next one takes effect.
+    for process in &processes {
+        expect_that!(is_domain_out(process), eq(true));
+    }
+    set_domain(&store, DomainState::In).await;
+    for process in &processes {
+        wait_until("the domain is in", async || !is_domain_out(process)).await;
+    }
+}
--- a/crates/lavenderseam_core/src/catalog/mod.rs
+++ b/crates/lavenderseam_core/src/catalog/mod.rs
@@ -3,7 +3,8 @@
 //! The platform's store orders all writes by [`Revision`]. A catalog applies an entry only if its
 //! revision is higher than the revision held for that record, whatever the source: the store, a
 //! peer, a stale read or a delayed watch response. A deletion is an entry with a revision too, so
-//! an older write can't undo it.
+//! an older write can't undo it. [`restore`] describes what happens when the store is restored from
+//! a copy.
 //!
 //! ```
 //! use lavenderseam_core::catalog::{ApplyOutcome, Catalog, Entry, Revision};
@@ -19,14 +20,20 @@
 
 mod digest;
 mod entry;
+mod mirror;
+pub mod restore;
+mod revision;
 
 use std::cmp::Ordering;
 use std::collections::{BTreeMap, BTreeSet};
 
-pub use digest::{BUCKET_COUNT, Digest};
-pub use entry::{Entry, Revision};
+pub use digest::{BUCKET_COUNT, Digest, Root};
+pub use entry::Entry;
+pub use mirror::{Mirror, Object};
+pub use revision::{Epoch, Revision};
 
 use crate::record::{Document, Id, Kind, Record};
+use restore::SupersededWrites;
 
 /// Result of applying an entry to a catalog.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -37,6 +44,9 @@
     AlreadyHeld,
     /// The entry is older than what the catalog holds and was ignored.
     Stale,
+    /// The entry was superseded before the store was restored; it was ignored, since the epoch
+    /// isn't settled.
+    Restored,
 }
 
 /// All records that a process holds, including deletions.
@@ -44,18 +54,31 @@
 /// A catalog is complete through a revision if it reflects all writes up to that revision. It then
 /// discards deletions up to that revision: an entry at or below it for a record that the catalog
 /// doesn't hold must have been deleted since, and is stale.
+///
+/// An epoch is settled once the store's records count without exception. Until then, a catalog
+/// keeps records of an older epoch that the store lacks, ignores writes that it has seen superseded
+/// in an older epoch, and isn't complete through a revision of the new epoch.
 #[derive(Clone, Debug, Default)]
 pub struct Catalog {
     entries: BTreeMap<Id, Entry>,
     digest: Digest,
     highest_revision: Revision,
     complete_through: Revision,
+    settled_epoch: Epoch,
+    /// Revision of the newest epoch after which no write comes from the copy that the store was
+    /// restored from: the lowest revision at which it was read.
+    copy_limit: Option<Revision>,
     deletions: BTreeSet<(Revision, Id)>,
+    /// Superseded writes, each with the hash of its content.
+    superseded: SupersededWrites<Id, u64>,
 }
 
 impl Catalog {
     /// Applies an entry if it is newer than the entry held for the same record.
     pub fn apply(&mut self, entry: Entry) -> ApplyOutcome {
+        if self.is_restored(&entry) {
+            return ApplyOutcome::Restored;
+        }
         let Some(stored) = self.entries.get(&entry.id) else {
             if entry.revision <= self.complete_through {
                 return ApplyOutcome::Stale;
@@ -66,6 +89,7 @@
         match stored.revision.cmp(&entry.revision) {
             Ordering::Equal => ApplyOutcome::AlreadyHeld,
             Ordering::Greater => ApplyOutcome::Stale,
+            Ordering::Less if stored.is_same_write(&entry) => ApplyOutcome::AlreadyHeld,
             Ordering::Less => {
                 self.remove_entry(&entry.id);
                 self.insert_entry(entry);
@@ -74,26 +98,108 @@
         }
     }
 
+    /// Returns `true` if an entry of an epoch that isn't settled is a write that was superseded in
+    /// an older epoch.
+    fn is_restored(&self, entry: &Entry) -> bool {
+        let may_be_from_copy = self
+            .copy_limit
+            .is_none_or(|limit| entry.revision.epoch() != limit.epoch() || entry.revision <= limit);
+        may_be_from_copy
+            && entry.document.is_some()
+            && entry.revision.epoch() > self.settled_epoch
+            && self
+                .superseded
+                .contains(&entry.id, entry.revision, &entry.content_hash())
+    }
+
+    /// Records that the store was read at a revision, so that later writes of the same epoch don't
+    /// come from a copy.
+    pub fn limit_copy(&mut self, revision: Revision) {
+        let replaces = self.copy_limit.is_none_or(|limit| {
+            revision.epoch() > limit.epoch()
+                || (revision.epoch() == limit.epoch() && revision < limit)
+        });
+        if replaces {
+            self.copy_limit = Some(revision);
+        }
+    }
+
+    /// Returns the lowest revision of the newest epoch at which the store was read.
+    #[must_use]
+    pub fn copy_limit(&self) -> Option<Revision> {
+        self.copy_limit
+    }
+
+    /// Settles an epoch: the records of the store in this epoch count, whatever was held before.
+    pub fn settle(&mut self, epoch: Epoch) {
+        self.settled_epoch = self.settled_epoch.max(epoch);
+    }
+
+    /// Returns the newest settled epoch.
+    #[must_use]
+    pub fn settled_epoch(&self) -> Epoch {
+        self.settled_epoch
+    }
+
     /// Returns the records held at or below `revision` that satisfy `within` but are not in
     /// `present`. They have been deleted if `present` lists all records satisfying `within` that
-    /// are held by the store, or by a peer that is complete through `revision`.
+    /// are held by the store, or by a peer that is complete through `revision`. Records of an older
+    /// epoch are left out until the epoch of `revision` is settled.
     pub fn records_missing_from(
         &self,
         revision: Revision,
         present: &BTreeSet<Id>,
         within: impl Fn(&Id) -> bool,
     ) -> Vec<Id> {
+        let is_settled = revision.epoch() <= self.settled_epoch;
+        let may_be_deleted = |entry: &&Entry| {
+            entry.revision <= revision && (is_settled || entry.revision.epoch() == revision.epoch())
+        };
         self.entries
             .values()
-            .filter(|entry| entry.document.is_some() && entry.revision <= revision)
+            .filter(|entry| entry.document.is_some())
+            .filter(may_be_deleted)
             .filter(|entry| within(&entry.id) && !present.contains(&entry.id))
             .map(|entry| entry.id.clone())
             .collect()
     }
 
     /// Records that the catalog is complete through a revision and discards deletions up to it.
-    pub fn mark_complete(&mut self, revision: Revision) {
+    ///
+    /// Has no effect if the epoch of the revision isn't settled. Returns the records of older
+    /// epochs, which the store still holds; they now have revisions of the new epoch.
+    pub fn mark_complete(&mut self, revision: Revision) -> Vec<Entry> {
+        if revision.epoch() > self.settled_epoch {
+            return Vec::new();
+        }
+        let starts_epoch = revision.epoch() > self.complete_through.epoch();
         self.complete_through = self.complete_through.max(revision);
+        self.discard_deletions();
+        if starts_epoch {
+            self.adopt_epoch(revision.epoch())
+        } else {
+            Vec::new()
+        }
+    }
+
+    /// Moves all records of older epochs to an epoch and returns them.
+    fn adopt_epoch(&mut self, epoch: Epoch) -> Vec<Entry> {
+        let mut adopted = Vec::new();
+        for entry in self.entries.values_mut() {
+            if entry.revision.epoch() >= epoch || entry.document.is_none() {
+                continue;
+            }
+            if let Some(revision) = Revision::new(epoch, entry.revision.number()) {
+                entry.revision = revision;
+                self.highest_revision = self.highest_revision.max(revision);
+                adopted.push(entry.clone());
+            }
+        }
+        adopted
+    }
+
+    /// Discards the deletions through which the catalog is complete.
+    fn discard_deletions(&mut self) {
         while let Some((deleted, _)) = self.deletions.first() {
             if *deleted > self.complete_through {
                 break;
@@ -113,7 +219,7 @@
     fn insert_entry(&mut self, entry: Entry) {
         self.highest_revision = self.highest_revision.max(entry.revision);
         if entry.document.is_some() {
-            self.digest.toggle(&entry.id, entry.revision);
+            self.digest.toggle(&entry);
         } else {
             self.deletions.insert((entry.revision, entry.id.clone()));
         }
@@ -125,7 +231,9 @@
             return;
         };
         if stored.document.is_some() {
-            self.digest.toggle(id, stored.revision);
+            self.digest.toggle(&stored);
+            let content = stored.content_hash();
+            self.superseded.insert(stored.id, stored.revision, content);
         } else {
             self.deletions.remove(&(stored.revision, stored.id));
         }
--- a/crates/lavenderseam_core/src/relay/message.rs
+++ b/crates/lavenderseam_core/src/relay/message.rs
@@ -4,7 +4,7 @@
 use serde_json::Value;
 
 use super::MemberId;
-use crate::catalog::{Digest, Entry, Revision};
+use crate::catalog::{Digest, Entry, Epoch, Revision, Root};
 use crate::record::Kind;
 
 value! {
@@ -14,7 +14,11 @@
         /// Revision through which the sender's catalog is complete.
         pub complete: Revision,
         /// Hash over the digest of the sender's records.
-        pub root: u64,
+        #[serde(flatten)]
+        pub root: Root,
+        /// Restore of the store whose grace period hasn't passed at the sender.
+        #[serde(default)]
+        pub restore: Option<Restore>,
         /// Time since the sender's records were last known to be up to date with the store, in
         /// milliseconds; `None` if that was never known.
         pub age_ms: Option<u64>,
@@ -27,6 +31,18 @@
     }
 }
 
+value! {
+    /// Restore of the store from a copy, with the grace period for lost records.
+    #[derive(Copy)]
+    pub struct Restore {
+        /// Lowest revision after the restore at which the store was read, as far as the sender
+        /// knows; later writes don't come from the copy.
+        pub copy_limit: Revision,
+        /// Rest of the grace period, in milliseconds.
+        pub settles_in_ms: u64,
+    }
+}
+
 value! {
     /// Sends new records to a neighbour in the tree.
     pub struct Push {
@@ -46,7 +62,8 @@
         /// Sending process.
         pub from: MemberId,
         /// Hash over the digest of the sender's records.
-        pub root: u64,
+        #[serde(flatten)]
+        pub root: Root,
         /// Revision through which the sender's catalog is complete.
         pub complete: Revision,
         /// Requests all entries of this bucket; `None` requests the entries after `complete`.
@@ -83,6 +100,29 @@
     }
 }
 
+impl Push {
+    /// Returns the newest epoch of the entries and the stamp.
+    pub(crate) fn epoch(&self) -> Epoch {
+        newest_epoch(&self.stamp, &self.entries)
+    }
+}
+
+impl Answer {
+    /// Returns the newest epoch of the entries and the stamp.
+    pub(crate) fn epoch(&self) -> Epoch {
+        newest_epoch(&self.stamp, &self.entries)
+    }
+}
+
+fn newest_epoch(stamp: &Stamp, entries: &[Entry]) -> Epoch {
+    let restored = stamp.restore.map(|restore| restore.copy_limit);
+    let revisions = entries.iter().map(|entry| entry.revision);
+    let newest = revisions
+        .chain(restored)
+        .fold(stamp.complete, Revision::max);
+    newest.epoch()
+}
+
 impl Bucket {
     /// Creates a bucket with all kinds that this version of the software knows.
     #[must_use]
--- a/crates/lavenderseam_core/src/relay/mod.rs
+++ b/crates/lavenderseam_core/src/relay/mod.rs
@@ -21,7 +21,7 @@
 mod watcher;
 
 pub use member::{Member, MemberId, Members};
-pub use message::{Answer, Bucket, Pull, Push, Stamp};
+pub use message::{Answer, Bucket, Pull, Push, Restore, Stamp};
 pub use node::{Action, Event, Node};
 pub use pause::{Confirmation, PAUSE_THRESHOLD};
 pub use tree::{FAN_OUT, Tree};
--- a/crates/lavenderseam_core/src/relay/node/forward.rs
+++ b/crates/lavenderseam_core/src/relay/node/forward.rs
@@ -28,13 +28,20 @@
         self.last_message_at = now;
         self.unanswered_pulls = 0;
         self.apply_entries(push.entries, Some(push.from), actions);
-        self.handle_stamp(push.from, push.stamp, now);
+        self.handle_stamp(push.from, push.stamp, now, actions);
     }
 
     /// Handles the stamp of another process.
-    pub(super) fn handle_stamp(&mut self, from: MemberId, stamp: Stamp, now: Instant) {
-        if stamp.root == self.catalog.digest().root() {
-            self.catalog.mark_complete(stamp.complete);
+    pub(super) fn handle_stamp(
+        &mut self,
+        from: MemberId,
+        stamp: Stamp,
+        now: Instant,
+        actions: &mut Vec<Action>,
+    ) {
+        let same_records = stamp.root.matches(&self.catalog.digest().root());
+        if same_records {
+            self.mark_complete(stamp.complete, actions);
             self.clear_repair(from);
         } else {
             self.start_repair(from, now);
@@ -43,7 +50,6 @@
             self.record_store_query(stamp.watcher, age::instant(age_ms, now), now);
         }
         // The stamp's age holds for this process only if its records are the same.
-        let same_records = stamp.root == self.catalog.digest().root();
         if let Some(age_ms) = stamp.age_ms.filter(|_| same_records) {
             self.advance_freshness(age::instant(age_ms, now));
         }
--- a/crates/lavenderseam_core/src/relay/node/mod.rs
+++ b/crates/lavenderseam_core/src/relay/node/mod.rs
@@ -2,6 +2,7 @@
 
 mod forward;
 mod repair;
+mod restore;
 mod store;
 
 use std::collections::BTreeMap;
@@ -12,11 +13,12 @@
 use super::outbox::Outbox;
 use super::pause::{Confirmation, PauseDetector};
 use super::{Answer, Bucket, Member, MemberId, Members, Pull, Push, Stamp, Tree, WatcherRanking};
-use crate::catalog::{ApplyOutcome, Catalog, Entry, Revision};
+use crate::catalog::{ApplyOutcome, Catalog, Entry, Epoch, Revision};
 use crate::rank::score;
 use crate::record::Id;
 use crate::time::Instant;
 use repair::Repair;
+use restore::Grace;
 use store::StoreWatch;
 
 /// Input event of a [`Node`].
@@ -103,6 +105,9 @@
     },
     /// Compile a new view, since these records have changed.
     CompileView(Vec<Entry>),
+    /// Check that the store still holds what this process has written: the store was restored from
+    /// a copy.
+    StoreRestored(Epoch),
     /// Delete the record of a balancer that has been unreachable for ten minutes, if the record
     /// still has this revision, and then the balancer's verdict. A balancer that is still running
     /// announces itself again.
@@ -139,12 +144,29 @@
     last_message_at: Instant,
     pause_detector: PauseDetector,
     store_watch: StoreWatch,
+    /// Grace period after the last restore of the store.
+    grace: Option<Grace>,
     pulls_in_flight: BTreeMap<SocketAddr, Instant>,
     /// Number of unanswered pulls since the last message from another process.
     unanswered_pulls: usize,
     repair: Option<Repair>,
 }
 
+impl Event {
+    /// Returns the newest epoch of the records in the event; `None` if it has none.
+    fn epoch(&self) -> Option<Epoch> {
+        match self {
+            Self::WriteAccepted(entry) => Some(entry.revision.epoch()),
+            Self::StoreListed { revision, .. } | Self::StoreWatched { revision, .. } => {
+                Some(revision.epoch())
+            }
+            Self::PushReceived(push) => Some(push.epoch()),
+            Self::PullFinished { answer, .. } => answer.as_ref().map(Answer::epoch),
+            _ => None,
+        }
+    }
+}
+
 impl Node {
     /// Creates the state machine of a process that holds no records. `seeds` are RPC addresses of
     /// processes to pull from while no members are known.
@@ -167,6 +189,7 @@
             last_message_at: Instant(0),
             pause_detector: PauseDetector::new(now),
             store_watch: StoreWatch::new(now),
+            grace: None,
             pulls_in_flight: BTreeMap::new(),
             unanswered_pulls: 0,
             repair: None,
@@ -176,6 +199,20 @@
     /// Handles an event and returns the actions to perform.
     pub fn handle(&mut self, event: Event, now: Instant) -> Vec<Action> {
         let mut actions = self.check_pause(now);
+        if let Some(epoch) = event.epoch() {
+            self.observe_epoch(epoch, now, &mut actions);
+        }
+        match &event {
+            Event::StoreListed { revision, .. } => self.catalog.limit_copy(*revision),
+            Event::PushReceived(push) => self.observe_restore(&push.stamp, now),
+            Event::PullFinished { answer, .. } => {
+                if let Some(answer) = answer {
+                    self.observe_restore(&answer.stamp, now);
+                }
+            }
+            _ => {}
+        }
+        self.settle_if_due(now);
         match event {
             Event::Tick => self.tick(now, &mut actions),
             Event::WriteAccepted(entry) => self.apply_entries(vec![entry], None, &mut actions),
@@ -314,11 +351,23 @@
         actions.push(Action::CompileView(changed));
     }
 
+    /// Marks the catalog complete through a revision. Records that it moves to the epoch of the
+    /// revision are unchanged, so they are compiled into the view but not pushed.
+    fn mark_complete(&mut self, revision: Revision, actions: &mut Vec<Action>) {
+        let adopted = self.catalog.mark_complete(revision);
+        if !adopted.is_empty() {
+            actions.push(Action::CompileView(adopted));
+        }
+    }
+
     fn stamp(&self, now: Instant) -> Stamp {
         let leader = self.store_watch.leader;
         Stamp {
             complete: self.catalog.complete_revision(),
             root: self.catalog.digest().root(),
+            restore: self
+                .grace
+                .and_then(|grace| grace.to_stamp(&self.catalog, now)),
             age_ms: self.fresh_as_of.map(|fresh_as_of| age_ms(fresh_as_of, now)),
             watcher: leader.map_or(self.own.id, |leader| leader.id),
             watcher_age_ms: leader.map(|leader| age_ms(leader.queried_at, now)),
--- a/crates/lavenderseam_core/src/relay/node/repair.rs
+++ b/crates/lavenderseam_core/src/relay/node/repair.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use super::{Action, Node};
-use crate::catalog::{Catalog, Digest, Entry};
+use crate::catalog::{Catalog, Digest, Entry, Root};
 use crate::record::{Id, Kind};
 use crate::relay::pause::Confirmation;
 use crate::relay::{Answer, Bucket, MemberId, Pull};
@@ -65,10 +65,10 @@
 }
 
 impl Node {
-    /// Returns the digest of the records held, or `None` if its root equals `root`.
-    pub(super) fn digest_if_different(&self, root: u64) -> Option<Digest> {
+    /// Returns the digest of the records held, or `None` if its root matches `root`.
+    pub(super) fn digest_if_different(&self, root: Root) -> Option<Digest> {
         let digest = self.catalog.digest();
-        (digest.root() != root).then(|| digest.clone())
+        (!digest.root().matches(&root)).then(|| digest.clone())
     }
 
     /// Starts a comparison with a process whose digest differs, unless one is under way.
@@ -201,7 +201,7 @@
         } else {
             self.apply_entries(answer.entries.clone(), Some(peer), actions);
         }
-        self.handle_stamp(peer, answer.stamp, now);
+        self.handle_stamp(peer, answer.stamp, now, actions);
         if let Some(bucket) = self.next_bucket(&answer) {
             self.pull(address, Some(bucket), now, actions);
             return;
--- a/crates/lavenderseam_core/src/relay/node/store.rs
+++ b/crates/lavenderseam_core/src/relay/node/store.rs
@@ -29,7 +29,7 @@
     /// revision.
     resume_after: Option<Revision>,
     /// `true` if the next call must list the records, since the store can't continue a watch.
-    must_list: bool,
+    pub(super) must_list: bool,
     next_call_at: Instant,
     /// The best-ranked process known to have queried the store recently.
     pub(super) leader: Option<Leader>,
@@ -82,6 +82,7 @@
             .records_missing_from(revision, &present, |_| true);
         let deletions = deleted.into_iter().map(|id| Entry::deletion(id, revision));
         self.apply_entries(deletions.collect(), None, actions);
+        self.mark_complete(revision, actions);
         self.finish_store_call(queried_at, revision, actions);
     }
 
@@ -94,17 +95,20 @@
         actions: &mut Vec<Action>,
     ) {
         self.apply_entries(entries, None, actions);
+        // After a restore, only a list shows which of the records held the store has lost.
+        if revision.epoch() == self.catalog.complete_revision().epoch() {
+            self.mark_complete(revision, actions);
+        }
         self.finish_store_call(queried_at, revision, actions);
     }
 
-    /// Records that the catalog is complete through the revision of the store's answer.
+    /// Records an answer of the store, from whose revision the next watch continues.
     fn finish_store_call(
         &mut self,
         queried_at: Instant,
         revision: Revision,
         actions: &mut Vec<Action>,
     ) {
-        self.catalog.mark_complete(revision);
         self.store_watch.call_in_flight = false;
         self.store_watch.resume_after = Some(revision);
         self.record_store_query(self.own.id, queried_at, queried_at);
--- a/crates/lavenderseam_core/tests/conformance_domain.rs
+++ b/crates/lavenderseam_core/tests/conformance_domain.rs
@@ -9,7 +9,7 @@
 use explorer::{Path, explore};
 use fixture::records;
 use googletest::prelude::*;
-use lavenderseam_core::catalog::Revision;
+use lavenderseam_core::catalog::{Revision, Root};
 use lavenderseam_core::relay::{
     Answer, Event, Member, MemberId, Node, PAUSE_THRESHOLD, Pull, Stamp,
 };
@@ -78,7 +78,7 @@
     fn answer_pull(&mut self) {
         let pull = Pull {
             from: MemberId(2),
-            root: 0,
+            root: Root::default(),
             complete: Revision(0),
             bucket: None,
         };
@@ -103,7 +103,8 @@
     fn receive_answer(&mut self, queried_at: Instant, open: bool) {
         let stamp = Stamp {
             complete: Revision(1),
-            root: 0,
+            root: Root::default(),
+            restore: None,
             age_ms: Some(0),
             watcher: MemberId(2),
             watcher_age_ms: Some(0),
--- a/crates/lavenderseam_platform/src/client/mod.rs
+++ b/crates/lavenderseam_platform/src/client/mod.rs
@@ -7,6 +7,8 @@
 mod response;
 
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -16,7 +18,7 @@
 use hyper_util::client::legacy;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
-use lavenderseam_core::catalog::{Entry, Revision};
+use lavenderseam_core::catalog::{Entry, Epoch, Revision};
 use lavenderseam_core::record::{Document, Id};
 
 use crate::{Condition, Error, ListResponse, Store};
@@ -29,6 +31,8 @@
 const MAX_RESPONSE_BYTES: usize = 128 << 20;
 /// Delay before a retry if a rate-limited response has no valid `Retry-After` header.
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_secs(1);
+/// Response header with the number of times that the store was restored from a copy.
+const EPOCH_HEADER: &str = "store-epoch";
 /// Upper bound for the delay that a `Retry-After` header may request.
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(60);
 
@@ -37,6 +41,8 @@
 pub struct Client {
     http: legacy::Client<HttpConnector, Full<Bytes>>,
     address: SocketAddr,
+    /// Newest epoch of a response.
+    epoch: Arc<AtomicU64>,
     /// Timeout of a call, without the wait of a watch.
     timeout: Duration,
 }
@@ -45,6 +51,8 @@
 struct Response {
     status: StatusCode,
     headers: HeaderMap,
+    /// Epoch of the revisions in the body.
+    epoch: Epoch,
     body: Bytes,
 }
 
@@ -58,6 +66,7 @@
         Self {
             http: legacy::Client::builder(TokioExecutor::new()).build(connector),
             address,
+            epoch: Arc::default(),
             timeout: CALL_TIMEOUT,
         }
     }
@@ -95,13 +104,24 @@
                 Err(Error::Throttled { retry_after })
             }
             StatusCode::PRECONDITION_FAILED => Err(Error::Conflict(
-                response::conflicting_revision(&response.body)?,
+                response::conflicting_revision(&response.body, response.epoch)?,
             )),
             StatusCode::PAYLOAD_TOO_LARGE => Err(Error::TooLarge),
             _ => Ok(response),
         }
     }
 
+    /// Returns the condition that the store compares with the number of a record's last write.
+    ///
+    /// Fails with a conflict if the store is known to have been restored since that write was
+    /// read, because the number may then belong to another write.
+    fn if_match(&self, expected: Revision) -> Result<String, Error> {
+        if expected.epoch().0 < self.epoch.load(Ordering::Relaxed) {
+            return Err(Error::Conflict(None));
+        }
+        Ok(format!("\"{}\"", expected.number()))
+    }
+
     /// Sends a request and reads the whole response.
     async fn send(&self, request: Request<Full<Bytes>>) -> Result<Response, Error> {
         let response = self
@@ -112,9 +132,12 @@
         let (parts, body) = response.into_parts();
         let body = Limited::new(body, MAX_RESPONSE_BYTES).collect().await;
         let body = body.map_err(|_| Error::NoResponse)?;
+        let epoch = epoch(&parts.headers)?;
+        self.epoch.fetch_max(epoch.0, Ordering::Relaxed);
         Ok(Response {
             status: parts.status,
             headers: parts.headers,
+            epoch,
             body: body.to_bytes(),
         })
     }
@@ -125,7 +148,7 @@
         let request = self.request(Method::GET, &object_path(id));
         let response = self.call(request, Vec::new(), self.timeout).await?;
         match response.status {
-            StatusCode::OK => response::record(&response.body).map(Some),
+            StatusCode::OK => response::record(&response.body, response.epoch).map(Some),
             StatusCode::NOT_FOUND => Ok(None),
             status => Err(unexpected_status(status)),
         }
@@ -135,7 +158,7 @@
         let request = self.request(Method::GET, "/v1/objects");
         let response = self.call(request, Vec::new(), self.timeout).await?;
         match response.status {
-            StatusCode::OK => response::list(&response.body),
+            StatusCode::OK => response::list(&response.body, response.epoch),
             status => Err(unexpected_status(status)),
         }
     }
@@ -147,22 +170,22 @@
         let request = match condition {
             Condition::Absent => request.header(IF_NONE_MATCH, "*"),
             Condition::AtRevision(expected_revision) => {
-                request.header(IF_MATCH, format!("\"{expected_revision}\""))
+                request.header(IF_MATCH, self.if_match(expected_revision)?)
             }
         };
         let response = self.call(request, body, self.timeout).await?;
         match response.status {
-            StatusCode::OK => response::written_revision(&response.body),
+            StatusCode::OK => response::written_revision(&response.body, response.epoch),
             status => Err(unexpected_status(status)),
         }
     }
 
     async fn delete(&self, id: &Id, expected_revision: Revision) -> Result<Revision, Error> {
         let request = self.request(Method::DELETE, &object_path(id));
-        let request = request.header(IF_MATCH, format!("\"{expected_revision}\""));
+        let request = request.header(IF_MATCH, self.if_match(expected_revision)?);
         let response = self.call(request, Vec::new(), self.timeout).await?;
         match response.status {
-            StatusCode::OK => response::written_revision(&response.body),
+            StatusCode::OK => response::written_revision(&response.body, response.epoch),
             StatusCode::NOT_FOUND => Err(Error::Conflict(None)),
             status => Err(unexpected_status(status)),
         }
@@ -170,11 +193,14 @@
 
     async fn watch(&self, after: Revision, wait: Duration) -> Result<ListResponse, Error> {
         let wait_ms = wait.as_millis();
-        let path = format!("/v1/watch?after={after}&wait_ms={wait_ms}");
+        let number = after.number();
+        let path = format!("/v1/watch?after={number}&wait_ms={wait_ms}");
         let request = self.request(Method::GET, &path);
         let response = self.call(request, Vec::new(), self.timeout + wait).await?;
         match response.status {
-            StatusCode::OK => response::list(&response.body),
+            // After a restore, the number belongs to another write or none.
+            StatusCode::OK if response.epoch != after.epoch() => Err(Error::RevisionExpired),
+            StatusCode::OK => response::list(&response.body, response.epoch),
             StatusCode::GONE => Err(Error::RevisionExpired),
             status => Err(unexpected_status(status)),
         }
@@ -200,6 +226,15 @@
     Error::Protocol(status.to_string())
 }
 
+/// Returns the epoch in the headers of a response; a store that sends none was never restored.
+fn epoch(headers: &HeaderMap) -> Result<Epoch, Error> {
+    let Some(value) = headers.get(EPOCH_HEADER) else {
+        return Ok(Epoch(0));
+    };
+    let epoch = value.to_str().ok().and_then(|text| text.parse().ok());
+    epoch.ok_or_else(|| Error::Protocol(format!("header {EPOCH_HEADER} is {value:?}")))
+}
+
 /// Returns the delay of the `Retry-After` header, in seconds and possibly fractional.
 fn retry_after(headers: &HeaderMap) -> Duration {
     let text = headers
--- a/crates/lavenderseam_platform/src/fake.rs
+++ b/crates/lavenderseam_platform/src/fake.rs
@@ -4,7 +4,7 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use lavenderseam_core::catalog::{Entry, Revision};
+use lavenderseam_core::catalog::{Entry, Epoch, Revision};
 use lavenderseam_core::record::{Document, Id};
 use tokio::sync::watch;
 
@@ -44,6 +44,13 @@
     compacted_revision: Revision,
 }
 
+/// Copy of the records of a store.
+#[derive(Clone, Debug)]
+pub struct Snapshot {
+    entries: BTreeMap<Id, Entry>,
+    number: u64,
+}
+
 impl FakeStore {
     /// Creates an empty store without faults.
     #[must_use]
@@ -70,6 +77,28 @@
         self.lock().compacted_revision = *self.head.borrow();
     }
 
+    /// Returns a copy of the records.
+    #[must_use]
+    pub fn snapshot(&self) -> Snapshot {
+        Snapshot {
+            entries: self.lock().entries.clone(),
+            number: self.head.borrow().number(),
+        }
+    }
+
+    /// Replaces the records by a copy, which starts a new epoch: the numbers of lost writes are
+    /// assigned again.
+    pub fn restore(&self, snapshot: Snapshot) {
+        let mut state = self.lock();
+        let epoch = Epoch(self.head.borrow().epoch().0 + 1);
+        let in_epoch = |number| Revision::new(epoch, number).unwrap_or_default();
+        state.entries = snapshot.entries;
+        for entry in state.entries.values_mut() {
+            entry.revision = in_epoch(entry.revision.number());
+        }
+        self.head.send_replace(in_epoch(snapshot.number));
+    }
+
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -173,7 +202,7 @@
 
     async fn watch(&self, after: Revision, wait: Duration) -> Result<ListResponse, Error> {
         self.begin_call().await?;
-        if after < self.lock().compacted_revision {
+        if after < self.lock().compacted_revision || after.epoch() != self.head.borrow().epoch() {
             return Err(Error::RevisionExpired);
         }
         let mut head = self.head.subscribe();
@@ -182,6 +211,9 @@
         if state.faults.unreachable {
             return Err(Error::NoResponse);
         }
+        if after.epoch() != self.head.borrow().epoch() {
+            return Err(Error::RevisionExpired);
+        }
         let newer = state
             .entries
             .values()
--- a/crates/lavenderseam_platform/tests/client.rs
+++ b/crates/lavenderseam_platform/tests/client.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use googletest::prelude::*;
-use lavenderseam_core::catalog::Revision;
+use lavenderseam_core::catalog::{Epoch, Revision};
 use lavenderseam_core::record::{Document, Id, Kind, Schema};
 use lavenderseam_platform::{Client, Condition, Error, Store};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -134,3 +134,62 @@
     let id = Id::new(Kind::Target, "x");
     assert_that!(client(address).get(&id).await, ok(none()));
 }
+
+/// Guards against revisions that repeat after a restore of the store: without the epoch, a new
+/// write looks older than a lost one.
+#[gtest]
+#[tokio::test]
+async fn a_revision_has_the_epoch_of_its_response() {
+    let address = serve_once(
+        "HTTP/1.1 200 OK\r\nstore-epoch: 2\r\ncontent-length: 14\r\n\r\n{\"revision\":7}",
+    )
+    .await;
+    let written = put(address).await.unwrap();
+    expect_that!(written, eq(Revision::new(Epoch(2), 7).unwrap()));
+    expect_that!(written, gt(Revision::new(Epoch(1), 900).unwrap()));
+}
+
+/// Guards against a watch that continues after a revision that belongs to another write since a
+/// restore, and so misses the changes before it.
+#[gtest]
+#[tokio::test]
+async fn a_watch_from_an_older_epoch_has_expired() {
+    let address = serve_once(
+        "HTTP/1.1 200 OK\r\nstore-epoch: 2\r\ncontent-length: 28\r\n\r\n{\"revision\":9,\"entries\":[]}  ",
+    )
+    .await;
+    let after = Revision::new(Epoch(1), 8).unwrap();
+    let watched = client(address).watch(after, Duration::ZERO).await;
+    expect_that!(watched, err(eq(&Error::RevisionExpired)));
+}
+
+/// Guards against a conditional write that replaces another write with the same number.
+#[gtest]
+#[tokio::test]
+async fn a_condition_of_an_older_epoch_fails_without_a_call() {
+    let address = serve_once(
+        "HTTP/1.1 200 OK\r\nstore-epoch: 2\r\ncontent-length: 14\r\n\r\n{\"revision\":7}",
+    )
+    .await;
+    let client = client(address);
+    client.put(&document(), Condition::Absent).await.unwrap();
+    let stale = Condition::AtRevision(Revision::new(Epoch(1), 7).unwrap());
+    let refused = client.put(&document(), stale).await;
+    expect_that!(refused, err(eq(&Error::Conflict(None))));
+}
+
+#[gtest]
+#[tokio::test]
+async fn an_unreadable_epoch_is_a_protocol_error() {
+    let address = serve_once(
+        "HTTP/1.1 200 OK\r\nstore-epoch: second\r\ncontent-length: 14\r\n\r\n{\"revision\":7}",
+    )
+    .await;
+    let found = put(address).await;
+    expect_that!(
+        found,
+        err(matches_pattern!(Error::Protocol(contains_substring(
+            "second"
+        ))))
+    );
+}
--- a/crates/lavenderseam_platform/tests/conditional_write.rs
+++ b/crates/lavenderseam_platform/tests/conditional_write.rs
@@ -184,3 +184,31 @@
     assert_that!(outcome, ok(anything()));
     assert_that!(store.get(&id()).await, ok(none()));
 }
+
+/// Guards against an update that is reported as written although a restore of the store discarded
+/// it while its response was lost.
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn a_write_that_a_restore_discarded_is_made_again() {
+    let store = Arc::new(FakeStore::new());
+    update(store.as_ref(), &id(), RetryPolicy::default(), increment)
+        .await
+        .unwrap();
+    let snapshot = store.snapshot();
+    store.set_faults(Faults {
+        lost_responses: 1,
+        ..Faults::default()
+    });
+    let mut decisions = 0;
+    let outcome = update(store.as_ref(), &id(), RetryPolicy::default(), |current| {
+        decisions += 1;
+        if decisions == 1 {
+            let (store, snapshot) = (Arc::clone(&store), snapshot.clone());
+            tokio::spawn(async move { store.restore(snapshot) });
+        }
+        increment(current)
+    })
+    .await;
+    expect_that!(outcome, ok(anything()));
+    expect_that!(count(&store).await, eq(2));
+}
