Follow the store's restores on pass-through services

Cause: the same as for the records of the other services: revisions repeat after a restore. Here the change was not even read, since each balancer's watch of the desired state went on waiting for the number of a lost write. An outage doesn't end a watch that waits.

Change: the client of the store gives each revision the epoch of its answer. The version decides between two desired states before the revision, so no list, peer or late answer brings an older one back. Logs show the epoch and what is carried over.

--- a/crates/lavenderseam_cli/src/command/trace.rs
+++ b/crates/lavenderseam_cli/src/command/trace.rs
@@ -20,7 +20,7 @@
 /// Time after the last line of the flow for which state changes are shown, in milliseconds.
 const CONTEXT_AFTER_MS: i64 = 2_000;
 /// Log events that report a state change of a process.
-const STATE_CHANGE_EVENTS: [&str; 11] = [
+const STATE_CHANGE_EVENTS: [&str; 12] = [
     "start",
     "stop",
     "reload",
@@ -31,6 +31,7 @@
     "backend",
     "dependency",
     "ignored",
+    "restored",
     "listed",
 ];
 
--- a/crates/lavenderseam_core/src/catalog/mirror.rs
+++ b/crates/lavenderseam_core/src/catalog/mirror.rs
@@ -30,6 +30,8 @@
     position: Option<Revision>,
     /// Epoch of the last list.
     epoch: Option<Epoch>,
+    /// Revision of the first list after a restore; later writes don't come from the copy.
+    copy_limit: Revision,
     /// End of the grace period after a restore.
     settles_at: Option<Instant>,
 }
@@ -45,6 +47,7 @@
         let is_restored = self.epoch.is_some_and(|epoch| epoch < revision.epoch());
         if is_restored {
             self.settles_at = Some(now + RESTORE_GRACE);
+            self.copy_limit = revision;
         } else if self.settles_at.is_some_and(|at| now >= at) {
             self.settles_at = None;
         }
@@ -126,9 +129,10 @@
     /// Keeps what was held before a restore: replaces restored versions of objects by the version
     /// held, and carries over objects that are not listed.
     fn restore_held(&mut self, held: BTreeMap<String, Object<T>>, revision: Revision) {
-        let superseded = &self.superseded;
+        let (superseded, copy_limit) = (&self.superseded, self.copy_limit);
         let is_restored = |name: &String, object: &Object<T>| {
-            superseded.contains(name, object.revision, &object.content)
+            object.revision <= copy_limit
+                && superseded.contains(name, object.revision, &object.content)
         };
         self.objects
             .retain(|name, object| held.contains_key(name) || !is_restored(name, object));
@@ -160,6 +164,7 @@
             superseded: SupersededWrites::default(),
             position: None,
             epoch: None,
+            copy_limit: Revision::default(),
             settles_at: None,
         }
     }
--- a/crates/lavenderseam_node/src/balancer/driver.rs
+++ b/crates/lavenderseam_node/src/balancer/driver.rs
@@ -7,12 +7,15 @@
 use std::time::Duration;
 
 use ::http::StatusCode;
+use lavenderseam_core::catalog::{Epoch, Revision};
 use lavenderseam_core::time::Instant;
 use lavenderseam_passthrough::balancer::{Action, Balancer, DiscardReason, Verdict};
 use lavenderseam_passthrough::message::{Announcement, Message, ReturnHeader};
 use lavenderseam_passthrough::segment::Segment;
 
-use super::records::{self, RecordKind};
+use tokio::sync::watch;
+
+use super::records::{self, RecordKind, RecordSource};
 use crate::codec::PacketCodec;
 use crate::http::{Request, Service, ServiceResponse};
 use crate::log::{Event, LogKey, PacketAction};
@@ -43,6 +46,8 @@
     pub(crate) is_stopping: Cell<bool>,
     /// Time of the store's last answer to a list or watch, by kind of record.
     pub(crate) store_answered_at: RefCell<BTreeMap<RecordKind, Instant>>,
+    /// Newest epoch of the store that this process or another balancer has seen; `None` at first.
+    pub(crate) epoch: watch::Sender<Option<Epoch>>,
 }
 
 /// Readiness endpoint of a balancer.
@@ -195,8 +200,9 @@
                 action,
                 reason,
                 revision: desired_state
-                    .map_or_else(Default::default, |desired_state| desired_state.revision),
-                disabled_domains: balancer.out_of_service_domains().revision,
+                    .map_or_else(Revision::default, |desired_state| desired_state.revision)
+                    .into(),
+                disabled_domains: balancer.out_of_service_domains().revision.number(),
                 targets: balancer.count_targets(segment.flow, now),
             }
         };
@@ -212,7 +218,10 @@
             Message::Return(returned) => self.handle_returned(returned, packet, from, now),
             Message::FlowHeld(held) => self.balancer.borrow_mut().on_flow_held(&held, from, now),
             Message::Announcement(announced) => self.handle_announcement(&announced, from, now),
-            Message::Gossip(gossip) => self.balancer.borrow_mut().on_gossip(&gossip, from, now),
+            Message::Gossip(gossip) => {
+                self.observe_epoch(gossip.epoch(), RecordSource::Peer);
+                self.balancer.borrow_mut().on_gossip(&gossip, from, now);
+            }
             Message::Forward(_) | Message::Hello(_) => self.process.log(&Event::MalformedInput {
                 source: "process",
                 error: format!("{from} sent a message for an agent to this balancer"),
--- a/crates/lavenderseam_node/src/balancer/mod.rs
+++ b/crates/lavenderseam_node/src/balancer/mod.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use lavenderseam_passthrough::balancer::{Balancer, Identity};
+use tokio::sync::watch;
 
 use crate::codec::PacketCodec;
 use crate::http;
@@ -19,7 +20,7 @@
 use crate::socket::DatagramSocket;
 use crate::unix_signals::{SignalAction, SignalListener};
 use driver::Driver;
-pub use records::{RecordKind, RecordSource, Records};
+pub use records::{RecordKind, RecordList, RecordSource, Records};
 
 /// Settings of a balancer.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -83,6 +84,7 @@
         was_ready: Cell::new(false),
         is_stopping: Cell::new(false),
         store_answered_at: RefCell::default(),
+        epoch: watch::Sender::new(None),
     });
     http::serve(
         settings.readiness_address,
--- a/crates/lavenderseam_node/src/balancer/records.rs
+++ b/crates/lavenderseam_node/src/balancer/records.rs
@@ -6,15 +6,18 @@
 use std::time::Duration;
 
 use ::http::StatusCode;
-use lavenderseam_core::catalog::Revision;
-use lavenderseam_passthrough::desired::{DesiredState, OutOfServiceDomains, RegisteredBalancers};
+use lavenderseam_core::catalog::{Epoch, Revision};
+use lavenderseam_core::time::Instant;
+use lavenderseam_passthrough::desired::{
+    CarriedOverDomains, DesiredState, OutOfServiceDomains, RegisteredBalancers,
+};
 use lavenderseam_passthrough::message::TargetSnapshot;
 use serde::{Deserialize, Serialize};
 
 use super::Handle;
 use super::driver::Driver;
 use crate::codec::PacketCodec;
-use crate::http::{self, Request, Service, ServiceResponse};
+use crate::http::{self, Request, Response, Service, ServiceResponse};
 use crate::log::{DependencyChange, Event};
 use crate::metrics::RecordLabel;
 
@@ -32,6 +35,9 @@
     /// Failure domains that operators have disabled.
     #[serde(rename = "outs")]
     pub disabled_domains: OutOfServiceDomains,
+    /// Failure domains that stay disabled although the restored store lacks their orders.
+    #[serde(default)]
+    pub carried_over: CarriedOverDomains,
     /// Targets that the balancer knows.
     #[serde(default)]
     pub targets: Vec<TargetSnapshot>,
@@ -48,6 +54,19 @@
     Balancers,
 }
 
+/// Result of listing a kind of records, for the log.
+#[derive(Clone, Copy, Debug)]
+pub struct RecordList {
+    /// Revision of the store at which the records were read.
+    pub revision: Revision,
+    /// Number of records.
+    pub records: usize,
+    /// Number of records that are kept although the restored store lacks them.
+    pub carried_over: usize,
+    /// Why the records were listed.
+    pub reason: &'static str,
+}
+
 /// Where a record came from.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RecordSource {
@@ -66,10 +85,12 @@
             return ServiceResponse::empty(StatusCode::NOT_FOUND);
         }
         let balancer = self.0.balancer.borrow();
+        let now = self.0.process.clock.now();
         let records = Records {
             desired_state: balancer.desired_state().cloned(),
             disabled_domains: balancer.out_of_service_domains().clone(),
-            targets: balancer.target_snapshots(self.0.process.clock.now()),
+            carried_over: balancer.carried_over_domains(now),
+            targets: balancer.target_snapshots(now),
         };
         match serde_json::to_vec(&records) {
             Ok(body) => ServiceResponse::json(StatusCode::OK, body),
@@ -82,22 +103,26 @@
 pub(crate) async fn fetch_records<C: PacketCodec>(driver: &Driver<C>, address: SocketAddrV4) {
     let result = http::send_request(address, Request::get(RECORDS_PATH), FETCH_TIMEOUT).await;
     let error = match result {
-        Ok((StatusCode::OK, body)) => match serde_json::from_slice::<Records>(&body) {
+        Ok(Response {
+            status: StatusCode::OK,
+            body,
+            ..
+        }) => match serde_json::from_slice::<Records>(&body) {
             Ok(records) => {
+                driver.observe_epoch(records.epoch(), RecordSource::Peer);
                 if let Some(desired_state) = records.desired_state {
                     driver.apply_desired_state(desired_state, RecordSource::Peer);
                 }
                 driver.apply_disabled_domains(records.disabled_domains, RecordSource::Peer);
                 let now = driver.process.clock.now();
-                driver
-                    .balancer
-                    .borrow_mut()
-                    .merge_targets(&records.targets, now);
+                let mut balancer = driver.balancer.borrow_mut();
+                balancer.carry_over_domains_of_peer(records.carried_over, now);
+                balancer.merge_targets(&records.targets, now);
                 return;
             }
             Err(error) => error.to_string(),
         },
-        Ok((status, _)) => status.to_string(),
+        Ok(response) => response.status.to_string(),
         Err(error) => error.to_string(),
     };
     driver.process.log(&Event::MalformedInput {
@@ -106,7 +131,34 @@
     });
 }
 
+impl Records {
+    /// Returns the newest epoch of the records.
+    fn epoch(&self) -> Epoch {
+        let desired_state = self.desired_state.as_ref();
+        let desired = desired_state.map_or_else(Revision::default, |desired| desired.revision);
+        desired.max(self.disabled_domains.revision).epoch()
+    }
+}
+
 impl<C: PacketCodec> Driver<C> {
+    /// Records an epoch of the store, which wakes the tasks that wait for a newer one.
+    pub(super) fn observe_epoch(&self, epoch: Epoch, source: RecordSource) {
+        let previous = *self.epoch.borrow();
+        if previous.is_some_and(|previous| previous >= epoch) {
+            return;
+        }
+        self.epoch.send_replace(Some(epoch));
+        let gauge = i64::try_from(epoch.0).unwrap_or(i64::MAX);
+        self.process.metrics.store_epoch.set(gauge);
+        if let Some(previous) = previous {
+            self.process.log(&Event::StoreRestored {
+                epoch,
+                previous,
+                source: source.name(),
+            });
+        }
+    }
+
     /// Applies a desired state; logs whether it is newer or older than the current one.
     fn apply_desired_state(&self, desired_state: DesiredState, source: RecordSource) {
         let (revision, version) = (desired_state.revision, desired_state.version);
@@ -119,7 +171,7 @@
         let services = desired_state.services.clone();
         if self.balancer.borrow_mut().set_desired_state(desired_state) {
             self.process.log(&Event::Desired {
-                revision,
+                revision: revision.into(),
                 version,
                 routes,
                 services,
@@ -131,9 +183,10 @@
         {
             self.record_ignored(&Event::RecordIgnored {
                 record: RecordKind::Desired.name(),
-                revision,
+                revision: revision.into(),
                 version: Some(version),
-                held_revision,
+                held_revision: held_revision.number(),
+                held_epoch: held_revision.epoch(),
                 held_version: Some(held_version),
                 source: source.name(),
             });
@@ -153,17 +206,21 @@
             .borrow_mut()
             .set_out_of_service_domains(disabled_domains);
         if applied && changes {
+            let now = self.process.clock.now();
+            let carried_over = self.balancer.borrow().carried_over_domains(now);
             self.process.log(&Event::DisabledDomains {
-                revision,
+                revision: revision.into(),
                 domains,
+                carried_over: carried_over.domains.into_iter().collect(),
                 source: source.name(),
             });
         } else if !applied && changes {
             self.record_ignored(&Event::RecordIgnored {
                 record: RecordKind::DisabledDomains.name(),
-                revision,
+                revision: revision.into(),
                 version: None,
-                held_revision,
+                held_revision: held_revision.number(),
+                held_epoch: held_revision.epoch(),
                 held_version: None,
                 source: source.name(),
             });
@@ -185,7 +242,7 @@
         let metrics = &self.process.metrics;
         if let Some(desired_state) = self.balancer.borrow().desired_state() {
             let version = i64::try_from(desired_state.version).unwrap_or(i64::MAX);
-            let revision = i64::try_from(desired_state.revision.0).unwrap_or(i64::MAX);
+            let revision = i64::try_from(desired_state.revision.number()).unwrap_or(i64::MAX);
             metrics.desired_version.set(version);
             metrics.desired_revision.set(revision);
         }
@@ -236,19 +293,52 @@
         self.driver.process.record_malformed("store", error);
     }
 
+    /// Keeps failure domains disabled whose orders the restored store lacks.
+    pub fn carry_over_domains(&self, lost: CarriedOverDomains) {
+        let now = self.driver.process.clock.now();
+        let mut balancer = self.driver.balancer.borrow_mut();
+        balancer.carry_over_domains(lost, now);
+    }
+
+    /// Records the epoch of an answer of the store.
+    pub fn observe_epoch(&self, epoch: Epoch) {
+        self.driver.observe_epoch(epoch, RecordSource::Store);
+    }
+
+    /// Returns the newest epoch of the store that this process or another balancer has seen.
+    #[must_use]
+    pub fn newest_epoch(&self) -> Option<Epoch> {
+        *self.driver.epoch.borrow()
+    }
+
+    /// Waits until this process or another balancer has seen an epoch newer than `epoch`.
+    pub async fn wait_for_newer_epoch(&self, epoch: Epoch) {
+        let mut epochs = self.driver.epoch.subscribe();
+        let is_newer = |newest: &Option<Epoch>| newest.is_some_and(|newest| newest > epoch);
+        // The sender lives as long as the driver that this handle holds.
+        let _ = epochs.wait_for(is_newer).await;
+    }
+
+    /// Returns the number of known balancers, including this one.
+    #[must_use]
+    pub fn balancer_count(&self) -> usize {
+        self.driver.balancer.borrow().balancer_count()
+    }
+
+    /// Returns the current time of the balancer's clock.
+    #[must_use]
+    pub fn now(&self) -> Instant {
+        self.driver.process.clock.now()
+    }
+
     /// Logs that all records of a kind were read from the store.
-    pub fn log_list(
-        &self,
-        kind: RecordKind,
-        revision: Revision,
-        records: usize,
-        reason: &'static str,
-    ) {
+    pub fn log_list(&self, kind: RecordKind, list: RecordList) {
         self.driver.process.log(&Event::RecordsListed {
             record: kind.name(),
-            revision,
-            records,
-            reason,
+            revision: list.revision.into(),
+            records: list.records,
+            carried_over: list.carried_over,
+            reason: list.reason,
         });
     }
 
--- a/crates/lavenderseam_node/src/http/client.rs
+++ b/crates/lavenderseam_node/src/http/client.rs
@@ -8,8 +8,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::StatusCode;
 use http::header::{CONTENT_TYPE, HOST};
+use http::{HeaderMap, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
@@ -33,8 +33,16 @@
     Request(http::Error),
 }
 
-/// Status and body of a response.
-pub type Response = (StatusCode, Bytes);
+/// Response with its whole body.
+#[derive(Clone, Debug)]
+pub struct Response {
+    /// Status code.
+    pub status: StatusCode,
+    /// Header fields.
+    pub headers: HeaderMap,
+    /// Body; empty if the response has none.
+    pub body: Bytes,
+}
 
 /// Sends a request on a new connection and reads the whole response.
 ///
@@ -72,7 +80,11 @@
         let (parts, body) = response.map_err(|_| Error::Unanswered)?.into_parts();
         let body = Limited::new(body, MAX_RESPONSE_BODY_BYTES).collect().await;
         let body = body.map_err(|_| Error::Unanswered)?;
-        Ok((parts.status, body.to_bytes()))
+        Ok(Response {
+            status: parts.status,
+            headers: parts.headers,
+            body: body.to_bytes(),
+        })
     };
     tokio::pin!(response, connection);
     tokio::select! {
--- a/crates/lavenderseam_node/src/http/mod.rs
+++ b/crates/lavenderseam_node/src/http/mod.rs
@@ -3,7 +3,7 @@
 mod client;
 mod server;
 
-pub use client::{Error, send_request};
+pub use client::{Error, Response, send_request};
 pub use server::serve;
 
 use std::rc::Rc;
--- a/crates/lavenderseam_node/src/log/event.rs
+++ b/crates/lavenderseam_node/src/log/event.rs
@@ -3,13 +3,20 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddrV4;
 
-use lavenderseam_core::catalog::Revision;
+use lavenderseam_core::catalog::{Epoch, Revision};
 use lavenderseam_passthrough::balancer::{DiscardReason, TargetCounts};
 use lavenderseam_passthrough::desired::ServiceLimits;
 use lavenderseam_passthrough::flow::Flow;
 use lavenderseam_passthrough::message::{AttemptedTargets, Load, Reason, TargetState};
 use serde::Serialize;
 
+/// Revision as log lines show it: the number that the store assigned, and the epoch.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+pub struct LoggedRevision {
+    revision: u64,
+    epoch: Epoch,
+}
+
 /// Change in the availability of a dependency.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
 #[serde(rename_all = "snake_case")]
@@ -68,10 +75,21 @@
         /// `true` if the process can serve traffic.
         ready: bool,
     },
+    /// The store was restored from a copy, so that it lacks recent writes.
+    #[serde(rename = "restored")]
+    StoreRestored {
+        /// Epoch since the restore.
+        epoch: Epoch,
+        /// Epoch before the restore.
+        previous: Epoch,
+        /// Where the process learned of the restore: `store` or `balancer`.
+        source: &'static str,
+    },
     /// A newer desired state has taken effect.
     Desired {
         /// Store revision of the desired state.
-        revision: Revision,
+        #[serde(flatten)]
+        revision: LoggedRevision,
         /// Version number that the operators gave the desired state.
         version: u64,
         /// Number of routes.
@@ -85,9 +103,12 @@
     #[serde(rename = "outs")]
     DisabledDomains {
         /// Store revision of the set.
-        revision: Revision,
+        #[serde(flatten)]
+        revision: LoggedRevision,
         /// Names of the disabled failure domains.
         domains: Vec<String>,
+        /// Names of those that stay disabled although the restored store lacks their orders.
+        carried_over: Vec<String>,
         /// Where the set came from: `store` or `balancer`.
         source: &'static str,
     },
@@ -97,11 +118,14 @@
         /// Name of the record's kind.
         record: &'static str,
         /// Revision of the record that was ignored.
-        revision: Revision,
+        #[serde(flatten)]
+        revision: LoggedRevision,
         /// Version number that the operators gave it; `None` if the kind has no versions.
         version: Option<u64>,
-        /// Revision of the record that the process holds.
-        held_revision: Revision,
+        /// Number of the revision that the process holds.
+        held_revision: u64,
+        /// Epoch of the revision that the process holds.
+        held_epoch: Epoch,
         /// Version number of the record that the process holds.
         held_version: Option<u64>,
         /// Where the ignored record came from: `store` or `balancer`.
@@ -113,10 +137,13 @@
         /// Name of the kind.
         record: &'static str,
         /// Revision of the store at which the records were read.
-        revision: Revision,
+        #[serde(flatten)]
+        revision: LoggedRevision,
         /// Number of records.
         records: usize,
-        /// Why the records were listed: `start` or `history gone`.
+        /// Number of records that are kept although the restored store lacks them.
+        carried_over: usize,
+        /// Why the records were listed: `start`, `history gone`, `restored` or `settled`.
         reason: &'static str,
     },
     /// A balancer has discovered a target, or the state of a target has changed.
@@ -153,10 +180,12 @@
         #[serde(rename = "cause")]
         reason: DiscardReason,
         /// Revision of the desired state on which the decision rests.
-        revision: Revision,
-        /// Revision of the set of disabled failure domains on which the decision rests.
+        #[serde(flatten)]
+        revision: LoggedRevision,
+        /// Number of the revision of the set of disabled failure domains on which the decision
+        /// rests.
         #[serde(rename = "outs")]
-        disabled_domains: Revision,
+        disabled_domains: u64,
         /// Summary of the service's targets, as this balancer knows them.
         targets: TargetCounts,
     },
@@ -258,6 +287,15 @@
     pub reason: &'static str,
 }
 
+impl From<Revision> for LoggedRevision {
+    fn from(revision: Revision) -> Self {
+        Self {
+            revision: revision.number(),
+            epoch: revision.epoch(),
+        }
+    }
+}
+
 impl LogKey {
     /// Returns the key of packets that a balancer can't forward, by cause.
     #[must_use]
@@ -302,6 +340,7 @@
             Self::ReturnSent { reason, .. } => return Some(LogKey::return_sent(*reason)),
             Self::RequestUnanswered { .. } => ("broken", ""),
             Self::Dependency { name, .. } => ("dependency", *name),
+            Self::StoreRestored { source, .. } => ("restored", *source),
             Self::Desired { source, .. } => ("desired", *source),
             Self::DisabledDomains { source, .. } => ("outs", *source),
             Self::RecordIgnored { record, .. } => ("ignored", *record),
--- a/crates/lavenderseam_node/src/metrics.rs
+++ b/crates/lavenderseam_node/src/metrics.rs
@@ -73,8 +73,10 @@
     pub store_age_seconds: Family<RecordLabel, Gauge<f64, AtomicU64>>,
     /// Version number of the desired state in force; 0 if there is none.
     pub desired_version: Gauge,
-    /// Store revision of the desired state in force; 0 if there is none.
+    /// Number of the store revision of the desired state in force; 0 if there is none.
     pub desired_revision: Gauge,
+    /// Number of times that the store was restored from a copy, as far as the process knows.
+    pub store_epoch: Gauge,
     /// Number of flows that the process tracks.
     pub flows: Gauge,
     /// Number of request slots in use: by flows that wait for an answer, or by failed requests.
@@ -134,6 +136,11 @@
             "Revision of the desired state in force",
             self.desired_revision.clone(),
         );
+        registry.register(
+            "store_epoch",
+            "Restores of the store from a copy",
+            self.store_epoch.clone(),
+        );
         registry.register("flows", "Flows known", self.flows.clone());
         registry.register("busy", "Flows that wait for an answer", self.busy.clone());
         let store_histogram = self.store_seconds.0.clone();
--- a/crates/lavenderseam_passthrough/src/balancer/mod.rs
+++ b/crates/lavenderseam_passthrough/src/balancer/mod.rs
@@ -12,6 +12,7 @@
 
 mod cache;
 mod opening;
+mod out_of_service;
 mod peers;
 mod routes;
 mod search;
@@ -26,7 +27,7 @@
 use lavenderseam_core::catalog::Revision;
 use lavenderseam_core::time::Instant;
 
-use crate::desired::{DesiredState, OutOfServiceDomains, RegisteredBalancers};
+use crate::desired::{CarriedOverDomains, DesiredState, OutOfServiceDomains, RegisteredBalancers};
 use crate::flow::Flow;
 use crate::message::{
     Announcement, AttemptedTargets, FlowConfirmation, ForwardHeader, Hello, MAX_ATTEMPTED_TARGETS,
@@ -34,6 +35,7 @@
 };
 use crate::segment::Segment;
 use cache::{CacheEntry, FlowCache, OwnerState};
+use out_of_service::OutOfService;
 use peers::Peers;
 use routes::Routes;
 pub use settings::Settings;
@@ -101,7 +103,7 @@
     settings: Settings,
     desired_state: Option<DesiredState>,
     routes: Routes,
-    out_of_service: OutOfServiceDomains,
+    out_of_service: OutOfService,
     targets: Targets,
     cache: FlowCache,
     peers: Peers,
@@ -127,7 +129,7 @@
             identity,
             desired_state: None,
             routes: Routes::default(),
-            out_of_service: OutOfServiceDomains::default(),
+            out_of_service: OutOfService::default(),
             targets: Targets::default(),
             cache: FlowCache::new(settings.flow_retention, settings.flow_cache_capacity),
             peers: Peers::default(),
@@ -242,7 +244,8 @@
 
     /// Applies a desired state; returns `true` if it is newer than the current one.
     pub fn set_desired_state(&mut self, desired_state: DesiredState) -> bool {
-        if self.desired_state.is_some() && desired_state.revision <= self.revision() {
+        let held = self.desired_state.as_ref();
+        if held.is_some_and(|held| !desired_state.is_newer_than(held)) {
             return false;
         }
         self.routes = Routes::new(&desired_state);
@@ -253,11 +256,19 @@
     /// Applies a set of failure domains that are out of service; returns `true` if it is newer than
     /// the current one.
     pub fn set_out_of_service_domains(&mut self, out_of_service: OutOfServiceDomains) -> bool {
-        if out_of_service.revision <= self.out_of_service.revision {
-            return false;
-        }
-        self.out_of_service = out_of_service;
-        true
+        self.out_of_service.apply(out_of_service)
+    }
+
+    /// Keeps failure domains out of service whose orders a restored store lacks; replaces those
+    /// kept so far.
+    pub fn carry_over_domains(&mut self, lost: CarriedOverDomains, now: Instant) {
+        self.out_of_service.carry_over(lost, now);
+    }
+
+    /// Keeps failure domains out of service that another balancer keeps, unless this balancer has
+    /// observed the restore of the store itself.
+    pub fn carry_over_domains_of_peer(&mut self, lost: CarriedOverDomains, now: Instant) {
+        self.out_of_service.carry_over_from_peer(lost, now);
     }
 
     /// Returns the state of all known targets, to be sent to other balancers.
@@ -284,6 +295,7 @@
             self.running_since = Some(now);
         }
         self.last_tick = now;
+        self.out_of_service.expire(now);
         let expired = self.targets.remove_expired(self.settings.agent_expiry, now);
         let mut actions: Vec<_> = expired
             .into_iter()
@@ -318,10 +330,23 @@
         self.desired_state.as_ref()
     }
 
-    /// Returns the failure domains that are out of service.
+    /// Returns the failure domains that are out of service by the store's orders.
     #[must_use]
     pub const fn out_of_service_domains(&self) -> &OutOfServiceDomains {
-        &self.out_of_service
+        self.out_of_service.ordered()
+    }
+
+    /// Returns the failure domains that are out of service although the restored store lacks their
+    /// orders.
+    #[must_use]
+    pub fn carried_over_domains(&self, now: Instant) -> CarriedOverDomains {
+        self.out_of_service.carried_over(now)
+    }
+
+    /// Returns the number of known balancers, including this one.
+    #[must_use]
+    pub fn balancer_count(&self) -> usize {
+        self.balancers().len()
     }
 
     /// Returns the targets of a new flow's service, counted by availability; used to explain a
@@ -331,7 +356,7 @@
         let Some(service) = self.routes.service_for(flow) else {
             return TargetCounts::default();
         };
-        let is_out_of_service = |domain: &str| self.out_of_service.domains.contains(domain);
+        let is_out_of_service = |domain: &str| self.out_of_service.contains(domain);
         self.targets
             .count_by_availability(service, &self.settings, is_out_of_service, now)
     }
@@ -350,8 +375,8 @@
             balancers: Vec::new(),
             desired_revision: self.revision(),
             service_known: service.is_some(),
-            out_domains_revision: self.out_of_service.revision,
-            domain_out: self.out_of_service.domains.contains(domain),
+            out_domains_revision: self.out_of_service.ordered().revision,
+            domain_out: self.out_of_service.contains(domain),
             cold_rate: service.and_then(|service| service.cold_rate),
             max_flows: service.and_then(|service| service.max_flows),
         }
@@ -380,7 +405,7 @@
     fn gossip(&self) -> RecordVersions {
         RecordVersions {
             desired_revision: self.revision(),
-            out_domains_revision: self.out_of_service.revision,
+            out_domains_revision: self.out_of_service.ordered().revision,
             targets_digest: self.targets.digest(),
             rpc_address: Some(self.identity.rpc_address),
             balancers: self.balancers(),
--- a/crates/lavenderseam_passthrough/src/balancer/opening.rs
+++ b/crates/lavenderseam_passthrough/src/balancer/opening.rs
@@ -108,7 +108,7 @@
             attempted,
             domain: &self.identity.domain,
         };
-        let is_out_of_service = |domain: &str| self.out_of_service.domains.contains(domain);
+        let is_out_of_service = |domain: &str| self.out_of_service.contains(domain);
         self.targets
             .select(&request, &self.settings, is_out_of_service, now)
     }
--- a/crates/lavenderseam_passthrough/src/desired.rs
+++ b/crates/lavenderseam_passthrough/src/desired.rs
@@ -45,7 +45,7 @@
 pub struct DesiredState {
     /// Revision of the store that this state was read at.
     pub revision: Revision,
-    /// Version number assigned by the operators; used in logs only.
+    /// Version number assigned by the operators, which only rises.
     pub version: u64,
     /// Limits of each service, by service name.
     pub services: BTreeMap<String, ServiceLimits>,
@@ -65,6 +65,16 @@
     pub domains: BTreeSet<String>,
 }
 
+/// Failure domains that were out of service before the store was restored from a copy, and whose
+/// orders the restored store lacks.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CarriedOverDomains {
+    /// Names of the failure domains, which stay out of service for now.
+    pub domains: BTreeSet<String>,
+    /// Time until the store's orders count.
+    pub rest: Duration,
+}
+
 /// Balancers that have registered with the store.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RegisteredBalancers {
@@ -74,6 +84,17 @@
     pub balancers: BTreeSet<SocketAddrV4>,
 }
 
+impl DesiredState {
+    /// Returns `true` if this state replaces another one.
+    ///
+    /// The version decides first, because a store that is restored from a copy shows an older
+    /// version at a newer revision.
+    #[must_use]
+    pub fn is_newer_than(&self, other: &Self) -> bool {
+        (self.version, self.revision) > (other.version, other.revision)
+    }
+}
+
 impl Route {
     /// Returns the service that a new flow is assigned to, or `None` if all weights are 0.
     ///
--- a/crates/lavenderseam_passthrough/src/message.rs
+++ b/crates/lavenderseam_passthrough/src/message.rs
@@ -5,7 +5,7 @@
 use std::fmt;
 use std::net::SocketAddrV4;
 
-use lavenderseam_core::catalog::Revision;
+use lavenderseam_core::catalog::{Epoch, Revision};
 use lavenderseam_core::rank::score;
 use serde::{Deserialize, Serialize};
 
@@ -277,6 +277,14 @@
     }
 }
 
+impl RecordVersions {
+    /// Returns the newest epoch of the sender's records.
+    #[must_use]
+    pub fn epoch(&self) -> Epoch {
+        self.desired_revision.max(self.out_domains_revision).epoch()
+    }
+}
+
 impl TargetId {
     /// Returns the identifier of the target whose agent listens on `agent`.
     #[must_use]
