--- a/crates/lavenderseam_core/src/relay/node/mod.rs
+++ b/crates/lavenderseam_core/src/relay/node/mod.rs
@@ -205,11 +205,10 @@
         match &event {
             Event::StoreListed { revision, .. } => self.catalog.limit_copy(*revision),
             Event::PushReceived(push) => self.observe_restore(&push.stamp, now),
-            Event::PullFinished { answer, .. } => {
-                if let Some(answer) = answer {
-                    self.observe_restore(&answer.stamp, now);
-                }
-            }
+            Event::PullFinished {
+                answer: Some(answer),
+                ..
+            } => self.observe_restore(&answer.stamp, now),
             _ => {}
         }
         self.settle_if_due(now);
--- a/crates/lavenderseam_core/tests/mirror.rs
+++ b/crates/lavenderseam_core/tests/mirror.rs
@@ -1,5 +1,7 @@
 //! What a process keeps of the objects that it has read, across restores of the store.
 
+#![allow(clippy::unwrap_used, reason = "helpers of tests")]
+
 use std::collections::BTreeMap;
 use std::time::Duration;
 
--- a/crates/lavenderseam_core/tests/relay_restore.rs
+++ b/crates/lavenderseam_core/tests/relay_restore.rs
@@ -1,5 +1,7 @@
 //! Replication of records when the store is restored from a copy that lacks recent writes.
 
+#![allow(clippy::unwrap_used, reason = "helpers of tests")]
+
 mod fixture;
 
 use std::time::Duration;
--- a/crates/lavenderseam_core/tests/relay_store.rs
+++ b/crates/lavenderseam_core/tests/relay_store.rs
@@ -1,5 +1,7 @@
 //! Lists and watches of the store by one process.
 
+#![allow(clippy::unwrap_used, reason = "helpers of tests")]
+
 mod fixture;
 
 use std::time::Duration;
--- a/crates/lavenderseam_passthrough/tests/restore.rs
+++ b/crates/lavenderseam_passthrough/tests/restore.rs
@@ -1,5 +1,7 @@
 //! Balancers and agents when the store is restored from a copy that lacks recent writes.
 
+#![allow(clippy::unwrap_used, reason = "helpers of tests")]
+
 mod fixture;
 
 use std::net::{Ipv4Addr, SocketAddrV4};
