Count records that a restored copy brings back as reverts

Cause: the bench compared revisions without their epoch. After a restore every revision counted as in force, and a record that went back to the copy's content counted as newer.

Change: operators note the epoch of their writes, and a record counts as reverted if its revision in a new epoch is within the copy while the daemon had held a later one.

--- a/crates/lavenderseam_bench/src/http_client.rs
+++ b/crates/lavenderseam_bench/src/http_client.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{Method, Request, StatusCode};
+use http::{HeaderMap, Method, Request, StatusCode};
 use http_body_util::{BodyExt, Full};
 use hyper_util::client::legacy::Client;
 use hyper_util::rt::TokioExecutor;
@@ -20,6 +20,8 @@
 pub struct Response {
     /// Status code.
     pub status: StatusCode,
+    /// Header fields.
+    pub headers: HeaderMap,
     /// Response body.
     pub body: Bytes,
 }
@@ -52,9 +54,14 @@
             .await
             .map_err(|error| error.to_string())?;
         let status = response.status();
+        let headers = response.headers().clone();
         let body = response.into_body().collect().await;
         let body = body.map_err(|error| error.to_string())?.to_bytes();
-        Ok::<_, String>(Response { status, body })
+        Ok::<_, String>(Response {
+            status,
+            headers,
+            body,
+        })
     };
     tokio::time::timeout(REQUEST_TIMEOUT, request_and_read_body)
         .await
--- a/crates/lavenderseam_bench/src/run/configuration_monitor.rs
+++ b/crates/lavenderseam_bench/src/run/configuration_monitor.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use http::Method;
 use lavenderseam_control::Status;
+use lavenderseam_core::catalog::Revision;
 use lavenderseam_core::id::Incarnation;
 use parking_lot::Mutex;
 use serde::Deserialize;
@@ -42,12 +43,15 @@
 struct PollLog {
     incarnation: Option<Incarnation>,
     /// Highest revision seen of each record in this incarnation.
-    highest_revisions: HashMap<String, u64>,
+    highest_revisions: HashMap<String, Revision>,
+    /// Revisions after a restore of the store whose number is lower than that of an earlier one.
+    /// They are reverts if they come from the copy.
+    lower_numbers: Vec<Revision>,
     /// Times of the polls that failed.
     unreachable_at_ms: Vec<u64>,
     /// Revision of each record in force, with the time of the poll; one entry for each change,
     /// oldest first.
-    snapshots: Vec<(u64, HashMap<String, u64>)>,
+    snapshots: Vec<(u64, HashMap<String, Revision>)>,
 }
 
 /// JSON-RPC response to a status call.
@@ -69,13 +73,23 @@
 
     /// Stops the monitor. Returns the longest time that a write took to be in force at a daemon
     /// that was reachable meanwhile, in milliseconds, and the number of times that a record went
-    /// back to an earlier revision.
-    pub(crate) async fn finish(mut self, writes: &[AcceptedWrite]) -> (u64, u64) {
+    /// back to an earlier write. `restored` holds the revision of each copy that the store was
+    /// restored from.
+    pub(crate) async fn finish(mut self, writes: &[AcceptedWrite], restored: &[u64]) -> (u64, u64) {
         self.tasks.shutdown().await;
         let state = self.state.lock();
+        let is_from_copy = |revision: &&Revision| {
+            let restore = usize::try_from(revision.epoch().0).ok();
+            let copy = restore.and_then(|restore| restored.get(restore.checked_sub(1)?));
+            copy.is_some_and(|copy| revision.number() <= *copy)
+        };
+        let logs = state.daemons.values();
+        let lower_numbers = logs.flat_map(|log| &log.lower_numbers);
+        let from_copy = lower_numbers.filter(is_from_copy).count();
+        let reverts = state.reverts + u64::try_from(from_copy).unwrap_or(u64::MAX);
         let lag = |log: &PollLog| writes.iter().filter_map(|write| log.lag_ms(write)).max();
         let longest = state.daemons.values().filter_map(lag).max();
-        (longest.unwrap_or(0), state.reverts)
+        (longest.unwrap_or(0), reverts)
     }
 }
 
@@ -123,14 +137,16 @@
             for (name, revision) in records {
                 let key = format!("{kind}/{name}");
                 let highest = self.highest_revisions.entry(key.clone()).or_default();
-                if revision.0 < *highest {
+                if *revision < *highest {
                     reverts += 1;
+                } else if revision.number() < highest.number() {
+                    self.lower_numbers.push(*revision);
                 }
-                *highest = revision.0.max(*highest);
+                *highest = *revision.max(highest);
                 // A record is in force once the view used for packet decisions includes its
                 // revision.
                 if *revision <= status.view {
-                    in_force.insert(key, revision.0);
+                    in_force.insert(key, *revision);
                 }
             }
         }
@@ -148,7 +164,7 @@
     /// unreachable meanwhile.
     fn lag_ms(&self, write: &AcceptedWrite) -> Option<u64> {
         let key = write.id.to_string();
-        let is_in_force = |revisions: &HashMap<String, u64>| match write.revision {
+        let is_in_force = |revisions: &HashMap<String, Revision>| match write.revision {
             Some(revision) => revisions
                 .get(&key)
                 .is_some_and(|current| *current >= revision),
--- a/crates/lavenderseam_bench/src/run/experiment_runner.rs
+++ b/crates/lavenderseam_bench/src/run/experiment_runner.rs
@@ -83,7 +83,10 @@
         let fabric = cluster.network().fabric_control();
         let flow_owners = http_client::get_json(fabric, fabric::OWNERS_PATH).await?;
         let writes = accepted_writes.lock().clone();
-        let (config_in_force_ms, config_reverts) = configuration_monitor.finish(&writes).await;
+        let after = StandInCounts::read(&cluster).await?;
+        let restored = &after.platform.restored_revisions;
+        let (config_in_force_ms, config_reverts) =
+            configuration_monitor.finish(&writes, restored).await;
         let mut report = self.new_report();
         report.config_in_force_ms = config_in_force_ms;
         report.config_reverts = config_reverts;
@@ -107,7 +110,6 @@
         };
         observations.fill_report(&mut report);
         findings.add_to(&mut report);
-        let after = StandInCounts::read(&cluster).await?;
         after.add_to(&mut report, &before, start.elapsed());
         report.expectations = evaluate_expectations(&self.experiment.expectations, &report);
         Ok(report)
--- a/crates/lavenderseam_bench/src/run/operator.rs
+++ b/crates/lavenderseam_bench/src/run/operator.rs
@@ -6,12 +6,14 @@
 
 use bytes::Bytes;
 use futures::future::join_all;
-use http::{Method, StatusCode};
+use http::{HeaderMap, Method, StatusCode};
+use lavenderseam_core::catalog::{Epoch, Revision};
 use lavenderseam_core::id;
 use lavenderseam_core::record::{self, Document, DomainState, Id, Kind, Record, Schema};
 use serde::Deserialize;
 use tokio::time::{Instant, sleep};
 
+use crate::stand_ins::platform::EPOCH_HEADER;
 use crate::stand_ins::unix_time_ms;
 use crate::{Error, http_client};
 
@@ -33,6 +35,9 @@
 struct StoredObject {
     revision: u64,
     document: Document,
+    /// Epoch of the revision.
+    #[serde(skip)]
+    epoch: Epoch,
 }
 
 /// Response of the object API to a write.
@@ -47,7 +52,7 @@
     /// Id of the record.
     pub id: Id,
     /// Revision of the record after the write; `None` if the write deleted the record.
-    pub revision: Option<u64>,
+    pub revision: Option<Revision>,
     /// Time at which the operator learnt that the write was accepted, in milliseconds since the
     /// epoch.
     pub accepted_ms: u64,
@@ -65,7 +70,7 @@
 
 impl AcceptedWrite {
     /// Returns a write that is accepted now.
-    fn new(id: &Id, revision: Option<u64>) -> Self {
+    fn new(id: &Id, revision: Option<Revision>) -> Self {
         Self {
             id: id.clone(),
             revision,
@@ -208,10 +213,14 @@
         &self,
         id: &Id,
         required_write: impl Fn(Option<&Document>) -> RequiredWrite,
-    ) -> Result<Option<Option<u64>>, Error> {
+    ) -> Result<Option<Option<Revision>>, Error> {
         let stored = self.read_object(id).await?;
         let (method, body) = match required_write(stored.as_ref().map(|stored| &stored.document)) {
-            RequiredWrite::NotNeeded => return Ok(Some(stored.map(|stored| stored.revision))),
+            RequiredWrite::NotNeeded => {
+                return Ok(Some(
+                    stored.and_then(|stored| Revision::new(stored.epoch, stored.revision)),
+                ));
+            }
             RequiredWrite::Delete => (Method::DELETE, Bytes::new()),
             RequiredWrite::Put(document) => (Method::PUT, self.encode_document(id, &document)?),
         };
@@ -234,9 +243,11 @@
         }
         let write_response: WriteResponse = serde_json::from_slice(&response.body)
             .map_err(|error| Error::http(self.object_api, &object_path(id), error))?;
-        Ok(Some(
-            (method == Method::PUT).then_some(write_response.revision),
-        ))
+        if method == Method::DELETE {
+            return Ok(Some(None));
+        }
+        let revision = Revision::new(epoch(&response.headers), write_response.revision);
+        Ok(Some(revision))
     }
 
     /// Reads an object; returns `None` if it doesn't exist.
@@ -246,9 +257,12 @@
             http_client::send_request(Method::GET, self.object_api, &path, &[], Bytes::new())
                 .await?;
         match response.status {
-            StatusCode::OK => serde_json::from_slice(&response.body)
-                .map(Some)
-                .map_err(|error| Error::http(self.object_api, &path, error)),
+            StatusCode::OK => {
+                let stored: StoredObject = serde_json::from_slice(&response.body)
+                    .map_err(|error| Error::http(self.object_api, &path, error))?;
+                let epoch = epoch(&response.headers);
+                Ok(Some(StoredObject { epoch, ..stored }))
+            }
             StatusCode::NOT_FOUND => Ok(None),
             status => Err(Error::http(self.object_api, &path, status)),
         }
@@ -263,6 +277,13 @@
     }
 }
 
+/// Returns the epoch in the headers of a response.
+fn epoch(headers: &HeaderMap) -> Epoch {
+    let value = headers.get(EPOCH_HEADER);
+    let text = value.and_then(|value| value.to_str().ok());
+    text.and_then(|text| text.parse().ok()).unwrap_or_default()
+}
+
 /// Returns the path of a record in the object API.
 fn object_path(id: &Id) -> String {
     format!("/v1/objects/{}/{}", id.kind, id.name)
--- a/crates/lavenderseam_bench/src/stand_ins/platform/mod.rs
+++ b/crates/lavenderseam_bench/src/stand_ins/platform/mod.rs
@@ -19,6 +19,7 @@
 pub use fault::Fault;
 pub use objects::{Change, Listing, Object, ObjectStore, Precondition, Rejection};
 pub use report::Report;
+pub(crate) use serve::EPOCH_HEADER;
 pub use serve::run;
 pub use token_bucket::TokenBucket;
 
--- a/crates/lavenderseam_bench/src/stand_ins/platform/serve.rs
+++ b/crates/lavenderseam_bench/src/stand_ins/platform/serve.rs
@@ -36,7 +36,7 @@
 use crate::stand_ins::{FAULT_PATH, REPORT_PATH, bind};
 
 /// Header of all responses: number of times that the objects were replaced by a copy.
-const EPOCH_HEADER: &str = "store-epoch";
+pub(crate) const EPOCH_HEADER: &str = "store-epoch";
 /// Kinds of objects that operators write.
 const OPERATOR_KINDS: [&str; 4] = ["Service", "BackendGroup", "FailureDomain", "Drain"];
 
