Keep a lost change at processes that started after it

Seen: a process that had started shortly before the store returned from an older copy went back to the copy's record until the lost change was written again.

Cause: a process recognised the copy's content by the writes that it had seen superseded. One that started after the change had seen none, and took the copy's record for a new write.

Change: a catalog knows since which revision it has received all writes. A listed write with a lower number than the one held is ignored until the epoch is settled if it is older than that, and likewise one from a process that doesn't know of the restore.

Result: a_process_that_started_after_a_lost_change_keeps_it failed before and passes.

--- a/crates/lavenderseam_core/src/catalog/mod.rs
+++ b/crates/lavenderseam_core/src/catalog/mod.rs
@@ -68,12 +68,27 @@
     /// Revision of the newest epoch after which no write comes from the copy that the store was
     /// restored from: the lowest revision at which it was read.
     copy_limit: Option<Revision>,
+    /// Revision since which the catalog has received all writes of the store, and not only the last
+    /// one of each record; `None` if it has not.
+    memory_start: Option<Revision>,
     deletions: BTreeSet<(Revision, Id)>,
     /// Superseded writes, each with the hash of its content.
     superseded: SupersededWrites<Id, u64>,
 }
 
 impl Catalog {
+    /// Applies an entry that may come from the copy that the store was restored from: one that was
+    /// listed, or sent by a process that doesn't know of the restore.
+    ///
+    /// In addition to what [`Self::apply`] ignores, a write is ignored until the epoch is settled if
+    /// it may have been superseded before the catalog received all writes.
+    pub fn apply_unverified(&mut self, entry: Entry) -> ApplyOutcome {
+        if self.may_be_older_than_memory(&entry) {
+            return ApplyOutcome::Restored;
+        }
+        self.apply(entry)
+    }
+
     /// Applies an entry if it is newer than the entry held for the same record.
     pub fn apply(&mut self, entry: Entry) -> ApplyOutcome {
         if self.is_restored(&entry) {
@@ -98,15 +113,41 @@
         }
     }
 
+    /// Returns `true` if an entry may come from the copy of an epoch that isn't settled.
+    fn may_be_from_copy(&self, entry: &Entry) -> bool {
+        let is_within_limit = self
+            .copy_limit
+            .is_none_or(|limit| entry.revision.epoch() != limit.epoch() || entry.revision <= limit);
+        is_within_limit && entry.document.is_some() && entry.revision.epoch() > self.settled_epoch
+    }
+
+    /// Returns `true` if an entry may come from the copy, has a lower number than the entry held
+    /// from an older epoch, and may have been superseded before the catalog received all writes.
+    fn may_be_older_than_memory(&self, entry: &Entry) -> bool {
+        let Some(held) = self.entries.get(&entry.id) else {
+            return false;
+        };
+        let number = entry.revision.number();
+        let precedes_memory = self
+            .memory_start
+            .is_none_or(|start| number <= start.number());
+        precedes_memory
+            && held.revision.epoch() < entry.revision.epoch()
+            && number < held.revision.number()
+            && held.document != entry.document
+            && self.may_be_from_copy(entry)
+    }
+
+    /// Records the revision since which the catalog receives all writes of the store; `None` if it
+    /// receives only some of them.
+    pub fn set_memory_start(&mut self, revision: Option<Revision>) {
+        self.memory_start = revision;
+    }
+
     /// Returns `true` if an entry of an epoch that isn't settled is a write that was superseded in
     /// an older epoch.
     fn is_restored(&self, entry: &Entry) -> bool {
-        let may_be_from_copy = self
-            .copy_limit
-            .is_none_or(|limit| entry.revision.epoch() != limit.epoch() || entry.revision <= limit);
-        may_be_from_copy
-            && entry.document.is_some()
-            && entry.revision.epoch() > self.settled_epoch
+        self.may_be_from_copy(entry)
             && self
                 .superseded
                 .contains(&entry.id, entry.revision, &entry.content_hash())
--- a/crates/lavenderseam_core/src/relay/node/forward.rs
+++ b/crates/lavenderseam_core/src/relay/node/forward.rs
@@ -27,7 +27,8 @@
     pub(super) fn handle_push(&mut self, push: Push, now: Instant, actions: &mut Vec<Action>) {
         self.last_message_at = now;
         self.unanswered_pulls = 0;
-        self.apply_entries(push.entries, Some(push.from), actions);
+        let verified = push.stamp.restore.is_some();
+        self.apply_entries(push.entries, Some(push.from), verified, actions);
         self.handle_stamp(push.from, push.stamp, now, actions);
     }
 
--- a/crates/lavenderseam_core/src/relay/node/mod.rs
+++ b/crates/lavenderseam_core/src/relay/node/mod.rs
@@ -214,7 +214,9 @@
         self.settle_if_due(now);
         match event {
             Event::Tick => self.tick(now, &mut actions),
-            Event::WriteAccepted(entry) => self.apply_entries(vec![entry], None, &mut actions),
+            Event::WriteAccepted(entry) => {
+                self.apply_entries(vec![entry], None, true, &mut actions)
+            }
             Event::StoreListed {
                 queried_at,
                 entries,
@@ -330,15 +332,23 @@
     }
 
     /// Applies entries received from another process, or from the store if `from` is `None`.
+    ///
+    /// Entries are `verified` if they don't come from the copy that the store was restored from.
     fn apply_entries(
         &mut self,
         entries: Vec<Entry>,
         from: Option<MemberId>,
+        verified: bool,
         actions: &mut Vec<Action>,
     ) {
         let mut changed = Vec::new();
         for entry in entries {
-            if self.catalog.apply(entry.clone()) == ApplyOutcome::Newer {
+            let outcome = if verified {
+                self.catalog.apply(entry.clone())
+            } else {
+                self.catalog.apply_unverified(entry.clone())
+            };
+            if outcome == ApplyOutcome::Newer {
                 self.members_changed |= self.members.apply(&entry);
                 changed.push(entry);
             }
--- a/crates/lavenderseam_core/src/relay/node/repair.rs
+++ b/crates/lavenderseam_core/src/relay/node/repair.rs
@@ -196,10 +196,11 @@
         self.last_message_at = now;
         self.unanswered_pulls = 0;
         let peer = answer.from;
+        let verified = answer.stamp.restore.is_some();
         if let Some(bucket) = &answer.bucket {
             self.apply_bucket(bucket, &answer, actions);
         } else {
-            self.apply_entries(answer.entries.clone(), Some(peer), actions);
+            self.apply_entries(answer.entries.clone(), Some(peer), verified, actions);
         }
         self.handle_stamp(peer, answer.stamp, now, actions);
         if let Some(bucket) = self.next_bucket(&answer) {
@@ -228,9 +229,10 @@
     /// and queues the records that the other process lacks.
     fn apply_bucket(&mut self, bucket: &Bucket, answer: &Answer, actions: &mut Vec<Action>) {
         let peer = answer.from;
+        let verified = answer.stamp.restore.is_some();
         let is_known_kind = |kind: Kind| bucket.kinds.iter().any(|name| name == kind.as_str());
         let within = |id: &Id| Digest::bucket_index(id) == bucket.index && is_known_kind(id.kind);
-        self.apply_entries(answer.entries.clone(), Some(peer), actions);
+        self.apply_entries(answer.entries.clone(), Some(peer), verified, actions);
         let present: BTreeSet<Id> = answer
             .entries
             .iter()
@@ -241,7 +243,7 @@
             .catalog
             .records_missing_from(complete, &present, within);
         let deletions = deleted.into_iter().map(|id| Entry::deletion(id, complete));
-        self.apply_entries(deletions.collect(), Some(peer), actions);
+        self.apply_entries(deletions.collect(), Some(peer), true, actions);
         self.push_newer_entries(bucket.index, answer);
     }
 
--- a/crates/lavenderseam_core/src/relay/node/store.rs
+++ b/crates/lavenderseam_core/src/relay/node/store.rs
@@ -76,12 +76,13 @@
     ) {
         self.store_watch.must_list = false;
         let present: BTreeSet<Id> = entries.iter().map(|entry| entry.id.clone()).collect();
-        self.apply_entries(entries, None, actions);
+        self.apply_entries(entries, None, false, actions);
+        self.catalog.set_memory_start(Some(revision));
         let deleted = self
             .catalog
             .records_missing_from(revision, &present, |_| true);
         let deletions = deleted.into_iter().map(|id| Entry::deletion(id, revision));
-        self.apply_entries(deletions.collect(), None, actions);
+        self.apply_entries(deletions.collect(), None, true, actions);
         self.mark_complete(revision, actions);
         self.finish_store_call(queried_at, revision, actions);
     }
@@ -94,7 +95,7 @@
         revision: Revision,
         actions: &mut Vec<Action>,
     ) {
-        self.apply_entries(entries, None, actions);
+        self.apply_entries(entries, None, true, actions);
         // After a restore, only a list shows which of the records held the store has lost.
         if revision.epoch() == self.catalog.complete_revision().epoch() {
             self.mark_complete(revision, actions);
@@ -155,6 +156,7 @@
         if !self.store_watch.is_active && !needs_confirmation {
             // A later watch starts from the revision that the peers have provided by then.
             self.store_watch.resume_after = None;
+            self.catalog.set_memory_start(None);
             return;
         }
         self.store_watch.call_in_flight = true;
--- a/crates/lavenderseam_core/tests/relay_restore.rs
+++ b/crates/lavenderseam_core/tests/relay_restore.rs
@@ -210,3 +210,30 @@
     // Three watches per second, and two lists by each watcher.
     assert_that!(fleet.store.calls - before, le(3 * 30 + 30));
 }
+
+/// Guards against a process that has started after a change, so that it hasn't seen the change
+/// replace anything, and takes the older record of the copy for a new one.
+#[gtest]
+fn a_process_that_started_after_a_lost_change_keeps_it() {
+    let mut fleet = settled_fleet(30, 1, 28);
+    let id = fleet.set_domain("suva-a", DomainState::In);
+    fleet.run(seconds(5));
+    let copy = fleet.store.head().number();
+    fleet.set_domain("suva-a", DomainState::Out);
+    fleet.run(seconds(1));
+    for index in 0..30 {
+        fleet.restart(index, Vec::new());
+    }
+    fleet.run(seconds(3));
+    assert_that!(all_hold(&fleet, &id, DomainState::Out), eq(true));
+    let lost = fleet.store.restore(copy);
+    for _ in 0..20 {
+        fleet.run(Duration::from_millis(200));
+        assert_that!(all_hold(&fleet, &id, DomainState::Out), eq(true));
+    }
+    write_again(&mut fleet, lost);
+    fleet.run(seconds(20));
+    expect_that!(all_hold(&fleet, &id, DomainState::Out), eq(true));
+    fleet.run(seconds(20));
+    expect_that!(fleet.has_converged(), eq(true));
+}
