Settle an epoch at once when a peer has settled it

Seen: a region that was cut off while the store returned from an older copy took a change 23 s after the cut had healed (at most 9 s), because each of its processes began a grace period of its own.

Cause: a stamp told of a restore only while the sender's grace period lasted, so a settled process looked like one that had started since and can't tell the copy's records from new ones.

Change: stamps tell of the last restore that the sender has observed, with no time left once its epoch is settled; the receiver then settles it too and takes the sender's records.

--- a/crates/lavenderseam_core/src/relay/message.rs
+++ b/crates/lavenderseam_core/src/relay/message.rs
@@ -16,7 +16,7 @@
         /// Hash over the digest of the sender's records.
         #[serde(flatten)]
         pub root: Root,
-        /// Restore of the store whose grace period hasn't passed at the sender.
+        /// Last restore of the store that the sender has observed; `None` if it started since.
         #[serde(default)]
         pub restore: Option<Restore>,
         /// Time since the sender's records were last known to be up to date with the store, in
@@ -38,7 +38,7 @@
         /// Lowest revision after the restore at which the store was read, as far as the sender
         /// knows; later writes don't come from the copy.
         pub copy_limit: Revision,
-        /// Rest of the grace period, in milliseconds.
+        /// Rest of the grace period, in milliseconds; 0 once the epoch is settled.
         pub settles_in_ms: u64,
     }
 }
--- a/crates/lavenderseam_core/src/relay/node/mod.rs
+++ b/crates/lavenderseam_core/src/relay/node/mod.rs
@@ -144,7 +144,7 @@
     last_message_at: Instant,
     pause_detector: PauseDetector,
     store_watch: StoreWatch,
-    /// Grace period after the last restore of the store.
+    /// Grace period after the last restore of the store that this process has observed.
     grace: Option<Grace>,
     pulls_in_flight: BTreeMap<SocketAddr, Instant>,
     /// Number of unanswered pulls since the last message from another process.
--- a/crates/lavenderseam_core/src/relay/node/restore.rs
+++ b/crates/lavenderseam_core/src/relay/node/restore.rs
@@ -66,8 +66,13 @@
     }
 
     /// Settles the epoch of the last restore once its grace period has passed.
+    ///
+    /// The grace period is kept, so that stamps tell processes that have missed the restore that
+    /// its epoch is settled.
     pub(super) fn settle_if_due(&mut self, now: Instant) {
-        if let Some(grace) = self.grace.take_if(|grace| now >= grace.ends_at) {
+        let is_due =
+            |grace: &Grace| now >= grace.ends_at && self.catalog.settled_epoch() < grace.epoch;
+        if let Some(grace) = self.grace.filter(is_due) {
             self.catalog.settle(grace.epoch);
             self.store_watch.must_list = true;
         }
--- a/crates/lavenderseam_core/tests/relay_restore.rs
+++ b/crates/lavenderseam_core/tests/relay_restore.rs
@@ -237,3 +237,24 @@
     fleet.run(seconds(20));
     expect_that!(fleet.has_converged(), eq(true));
 }
+
+/// Guards against a process that takes changes late after a partition, since it begins a grace
+/// period that all others have behind them.
+#[gtest]
+fn a_process_that_missed_a_restore_takes_later_changes_at_once() {
+    let mut fleet = settled_fleet(60, 3, 29);
+    let copy = fleet.store.head().number();
+    let id = change_domain(&mut fleet, 5);
+    fleet.run(seconds(5));
+    fleet.partitioned = true;
+    fleet.regions_without_store = vec![2];
+    fleet.run(seconds(5));
+    let lost = fleet.store.restore(copy);
+    fleet.run(seconds(1));
+    write_again(&mut fleet, lost);
+    fleet.set_domain("suva-a", DomainState::Out);
+    fleet.run(seconds(30));
+    fleet.partitioned = false;
+    let elapsed = fleet.run_until(seconds(30), |fleet| all_hold(fleet, &id, DomainState::Out));
+    assert_that!(elapsed, some(lt(seconds(9))));
+}
