Write a verdict again that a restored store may lack

Seen by reading: a balancer whose verdict was newer than the copy that the store returned from took it for stored. Its targets stayed marked only as long as the other processes carried the verdict over (10 s), and counted as up for a moment before the verdict was written again.

Cause: the prober compares its verdict with the one that the store acknowledged last.

Change: after a restore, a verdict that was written within the last minute counts as unknown to the store and is written again.

Result: a_verdict_that_a_restore_may_have_discarded_is_written_again passes, and fails without the change (no further write).

--- a/crates/lavenderseam_control/src/control_state.rs
+++ b/crates/lavenderseam_control/src/control_state.rs
@@ -35,6 +35,14 @@
     Confirmed(u64),
 }
 
+/// Update for the task that probes targets.
+pub(crate) enum ProbeUpdate {
+    /// Records that have changed.
+    Records(Arc<[Entry]>),
+    /// The store was restored from a copy.
+    StoreRestored,
+}
+
 /// State that the tasks of the control plane share.
 pub(crate) struct ControlState<S> {
     pub(crate) identity: Arc<Identity>,
@@ -46,7 +54,7 @@
     /// Queue of the task that compiles and publishes views.
     pub(crate) view_updates: mpsc::UnboundedSender<ViewUpdate>,
     /// Queue of the task that probes targets; balancers only.
-    pub(crate) probe_updates: Option<mpsc::UnboundedSender<Arc<[Entry]>>>,
+    pub(crate) probe_updates: Option<mpsc::UnboundedSender<ProbeUpdate>>,
     /// Notified when the store may no longer hold the record of this process as last written.
     pub(crate) own_record_lost: Notify,
     /// Time at which this process last wrote its record.
@@ -217,6 +225,9 @@
         self.log.warn(format_args!(
             "the store was restored from a copy (epoch {epoch}); keeping newer records until they are written again"
         ));
+        if let Some(updates) = &self.probe_updates {
+            let _ = updates.send(ProbeUpdate::StoreRestored);
+        }
         let written_at = *self.own_record_written_at.lock();
         let age = written_at.map(|written_at| self.clock.now().since(written_at));
         if age.is_none_or(|age| age > MAX_COPY_AGE) {
@@ -240,7 +251,7 @@
             self.own_record_lost.notify_one();
         }
         if let Some(updates) = &self.probe_updates {
-            let _ = updates.send(Arc::clone(&entries));
+            let _ = updates.send(ProbeUpdate::Records(Arc::clone(&entries)));
         }
         // The view task receives until the app stops.
         let _ = self.view_updates.send(ViewUpdate::Records(entries));
--- a/crates/lavenderseam_control/src/probe.rs
+++ b/crates/lavenderseam_control/src/probe.rs
@@ -17,7 +17,7 @@
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc::{self, UnboundedReceiver};
 
-use crate::control_state::ControlState;
+use crate::control_state::{ControlState, ProbeUpdate};
 
 /// Interval between checks for probes and writes that are due.
 const TICK_INTERVAL: Duration = Duration::from_millis(250);
@@ -50,7 +50,7 @@
 pub(crate) async fn run<S: Store>(
     control: Arc<ControlState<S>>,
     name: id::Balancer,
-    mut changes: UnboundedReceiver<Arc<[Entry]>>,
+    mut updates: UnboundedReceiver<ProbeUpdate>,
     mut shutdown: Shutdown,
 ) {
     let log = control.log;
@@ -65,9 +65,7 @@
     loop {
         tokio::select! {
             _ = interval.tick() => task.tick().await,
-            Some(entries) = changes.recv() => {
-                entries.iter().for_each(|entry| task.prober.apply(entry));
-            }
+            Some(update) = updates.recv() => task.apply_update(&update),
             Ok((length, _)) = task.socket.recv_from(&mut datagram) => {
                 task.receive(&datagram[..length]);
             }
@@ -110,6 +108,17 @@
         })
     }
 
+    fn apply_update(&mut self, update: &ProbeUpdate) {
+        match update {
+            ProbeUpdate::Records(entries) => {
+                entries.iter().for_each(|entry| self.prober.apply(entry));
+            }
+            ProbeUpdate::StoreRestored => {
+                self.prober.handle_restore(self.control.clock.now());
+            }
+        }
+    }
+
     /// Starts the probes and writes that are due.
     async fn tick(&mut self) {
         for action in self.prober.tick(self.control.clock.now()) {
--- a/crates/lavenderseam_core/src/liveness/prober.rs
+++ b/crates/lavenderseam_core/src/liveness/prober.rs
@@ -7,6 +7,7 @@
 use super::health::TargetHealth;
 use super::{Assignment, ProbedTarget};
 use crate::catalog::Entry;
+use crate::catalog::restore::MAX_COPY_AGE;
 use crate::id::{self, Incarnation, Tag};
 use crate::rank::score;
 use crate::record::{DownTarget, Id, Kind, Record, Verdict};
@@ -68,7 +69,10 @@
     rng_draws: u64,
     health_by_target: BTreeMap<Tag, TargetHealth>,
     last_tick: Instant,
-    stored_verdict: Verdict,
+    /// Verdict that the store holds; `None` if that is unknown since a restore.
+    stored_verdict: Option<Verdict>,
+    /// Time at which the store last accepted a verdict.
+    written_at: Option<Instant>,
     write_in_flight: Option<Verdict>,
     next_write: Instant,
     /// Number of consecutive failed writes.
@@ -87,7 +91,8 @@
             rng_draws: 0,
             health_by_target: BTreeMap::new(),
             last_tick: now,
-            stored_verdict: Verdict { down: Vec::new() },
+            stored_verdict: Some(Verdict { down: Vec::new() }),
+            written_at: None,
             write_in_flight: None,
             next_write: now,
             consecutive_write_failures: 0,
@@ -100,7 +105,7 @@
         // An earlier run of the balancer may have written this verdict; it is replaced if it
         // differs.
         if entry.id == self.own_verdict && self.write_in_flight.is_none() {
-            self.stored_verdict = read_verdict(entry);
+            self.stored_verdict = Some(read_verdict(entry));
         }
     }
 
@@ -157,7 +162,8 @@
     pub fn handle_write_result(&mut self, taken: bool, now: Instant) {
         let verdict = self.write_in_flight.take();
         if let Some(verdict) = verdict.filter(|_| taken) {
-            self.stored_verdict = verdict;
+            self.stored_verdict = Some(verdict);
+            self.written_at = Some(now);
             self.consecutive_write_failures = 0;
             return;
         }
@@ -169,6 +175,14 @@
         self.next_write = now + self.with_jitter(delay);
     }
 
+    /// Handles a restore of the store from a copy; a verdict that the copy may lack is written again.
+    pub fn handle_restore(&mut self, now: Instant) {
+        let age = self.written_at.map(|written_at| now.since(written_at));
+        if age.is_some_and(|age| age <= MAX_COPY_AGE) {
+            self.stored_verdict = None;
+        }
+    }
+
     /// Returns a random duration between half of `max_delay` and `max_delay`.
     fn with_jitter(&mut self, max_delay: Duration) -> Duration {
         max_delay.mul_f64(0.5 + self.next_random() as f64 / u64::MAX as f64 / 2.0)
@@ -241,7 +255,7 @@
             return None;
         }
         let verdict = self.verdict();
-        if verdict == self.stored_verdict {
+        if self.stored_verdict.as_ref() == Some(&verdict) {
             return None;
         }
         let jitter = MIN_WRITE_INTERVAL.mul_f64(self.next_random() as f64 / u64::MAX as f64 / 2.0);
--- a/crates/lavenderseam_core/tests/liveness.rs
+++ b/crates/lavenderseam_core/tests/liveness.rs
@@ -78,6 +78,12 @@
         }
     }
 
+    fn observe_restore(&mut self) {
+        for prober in &mut self.probers {
+            prober.handle_restore(self.now);
+        }
+    }
+
     fn tick(&mut self, index: usize) {
         for action in self.probers[index].tick(self.now) {
             match action {
@@ -320,3 +326,23 @@
     }
     assert_that!(writes, all!(ge(8), le(30)));
 }
+
+/// Guards against a verdict that the store lacks after a restore, since its balancer takes it for
+/// stored.
+#[gtest]
+fn a_verdict_that_a_restore_may_have_discarded_is_written_again() {
+    let mut fixture = Fixture::new(10);
+    fixture.unresponsive_targets = vec![1003];
+    fixture.run(Duration::from_secs(10));
+    let writes = fixture.write_counts.clone();
+    assert_that!(writes, each(ge(&1)));
+    fixture.observe_restore();
+    fixture.run(Duration::from_secs(5));
+    let rewritten: Vec<usize> = writes.iter().map(|count| count + 1).collect();
+    expect_that!(fixture.write_counts, eq(&rewritten));
+    // No copy is older than a minute.
+    fixture.run(Duration::from_secs(120));
+    fixture.observe_restore();
+    fixture.run(Duration::from_secs(5));
+    expect_that!(fixture.write_counts, eq(&rewritten));
+}
