Measure the grace period from when a restore became known

Seen by reading: a balancer that was cut off from the store during a restore began the grace period when it reached the store again, and kept failure domains out of service for up to 10 s after their operators had brought them back.

Cause: the mirror started the period with its own first list, although gossip had told of the restore.

Change: the mirror is told when the process learned of the epoch.

Result: the_grace_period_begins_when_the_restore_becomes_known passes; it fails with the time of the list.

--- a/crates/lavenderseam_core/src/catalog/mirror.rs
+++ b/crates/lavenderseam_core/src/catalog/mirror.rs
@@ -38,19 +38,22 @@
 
 impl<T: Clone + PartialEq> Mirror<T> {
     /// Replaces the objects by those of a list at a revision of the store.
+    ///
+    /// `epoch_seen_at` is the time at which the process learned of the epoch of the list, from the
+    /// store or from another process.
     pub fn apply_list(
         &mut self,
         listed: BTreeMap<String, Object<T>>,
         revision: Revision,
+        epoch_seen_at: Instant,
         now: Instant,
     ) {
         let is_restored = self.epoch.is_some_and(|epoch| epoch < revision.epoch());
         if is_restored {
-            self.settles_at = Some(now + RESTORE_GRACE);
+            self.settles_at = Some(epoch_seen_at + RESTORE_GRACE);
             self.copy_limit = revision;
-        } else if self.settles_at.is_some_and(|at| now >= at) {
-            self.settles_at = None;
         }
+        self.settles_at.take_if(|at| now >= *at);
         self.epoch = Some(revision.epoch());
         self.position = Some(revision);
         let held = std::mem::replace(&mut self.objects, listed);
--- a/crates/lavenderseam_core/src/relay/node/mod.rs
+++ b/crates/lavenderseam_core/src/relay/node/mod.rs
@@ -215,7 +215,7 @@
         match event {
             Event::Tick => self.tick(now, &mut actions),
             Event::WriteAccepted(entry) => {
-                self.apply_entries(vec![entry], None, true, &mut actions)
+                self.apply_entries(vec![entry], None, true, &mut actions);
             }
             Event::StoreListed {
                 queried_at,
--- a/crates/lavenderseam_core/tests/mirror.rs
+++ b/crates/lavenderseam_core/tests/mirror.rs
@@ -55,6 +55,7 @@
         list(1, &[("a", 8, "old"), ("c", 9, "gone")]),
         revision(1, 10),
         at(0),
+        at(0),
     );
     mirror.apply_change("a".to_owned(), revision(1, 11), Some("new"));
     mirror.apply_change("b".to_owned(), revision(1, 12), Some("lost"));
@@ -71,6 +72,7 @@
         list(2, &[("a", 8, "old"), ("c", 9, "gone")]),
         revision(2, 10),
         at(20),
+        at(20),
     );
     expect_that!(contents(&mirror), elements_are![eq(&("a", "new"))]);
     expect_that!(carried_over(&mirror), elements_are![eq(&"b")]);
@@ -88,7 +90,7 @@
         2,
         &[("a", 11, "newest"), ("b", 12, "lost"), ("c", 9, "gone")],
     );
-    mirror.apply_list(listed, revision(2, 12), at(20));
+    mirror.apply_list(listed, revision(2, 12), at(20), at(20));
     expect_that!(
         contents(&mirror),
         elements_are![eq(&("a", "newest")), eq(&("b", "lost"))]
@@ -107,10 +109,10 @@
 fn the_store_counts_once_the_grace_period_has_passed() {
     let mut mirror = mirror();
     let copy = list(2, &[("a", 8, "old"), ("c", 9, "gone")]);
-    mirror.apply_list(copy.clone(), revision(2, 10), at(20));
+    mirror.apply_list(copy.clone(), revision(2, 10), at(20), at(20));
     let end = at(20) + RESTORE_GRACE;
     expect_that!(mirror.position(end), none());
-    mirror.apply_list(copy, revision(2, 10), end);
+    mirror.apply_list(copy, revision(2, 10), end, end);
     expect_that!(
         contents(&mirror),
         elements_are![eq(&("a", "old")), eq(&("c", "gone"))]
@@ -124,12 +126,12 @@
 fn further_lists_within_the_grace_period_keep_lost_changes() {
     let mut mirror = mirror();
     let copy = [("a", 8, "old"), ("c", 9, "gone")];
-    mirror.apply_list(list(2, &copy), revision(2, 10), at(20));
+    mirror.apply_list(list(2, &copy), revision(2, 10), at(20), at(20));
     mirror.apply_change("d".to_owned(), revision(2, 11), Some("short-lived"));
-    mirror.apply_list(list(2, &copy), revision(2, 12), at(21));
+    mirror.apply_list(list(2, &copy), revision(2, 12), at(21), at(21));
     expect_that!(contents(&mirror), elements_are![eq(&("a", "new"))]);
     expect_that!(carried_over(&mirror), elements_are![eq(&"b")]);
-    mirror.apply_list(list(3, &copy), revision(3, 10), at(22));
+    mirror.apply_list(list(3, &copy), revision(3, 10), at(22), at(22));
     expect_that!(contents(&mirror), elements_are![eq(&("a", "new"))]);
     expect_that!(carried_over(&mirror), elements_are![eq(&"b")]);
     expect_that!(mirror.settles_at(), some(eq(at(22) + RESTORE_GRACE)));
@@ -140,7 +142,7 @@
 fn a_list_of_the_same_epoch_replaces_everything() {
     let mut mirror = mirror();
     mirror.discard_position();
-    mirror.apply_list(list(1, &[("a", 8, "old")]), revision(1, 20), at(20));
+    mirror.apply_list(list(1, &[("a", 8, "old")]), revision(1, 20), at(20), at(20));
     expect_that!(contents(&mirror), elements_are![eq(&("a", "old"))]);
     expect_that!(mirror.settles_at(), none());
 }
@@ -158,3 +160,14 @@
     expect_that!(Revision::new(Epoch(0), 1 << 44), none());
     expect_that!(Revision::new(Epoch(1 << 20), 1), none());
 }
+
+/// Guards against a process that reaches the store late after a restore and then keeps for another
+/// grace period what was withdrawn meanwhile.
+#[gtest]
+fn the_grace_period_begins_when_the_restore_becomes_known() {
+    let mut mirror = mirror();
+    let copy = list(2, &[("a", 8, "old"), ("c", 9, "gone")]);
+    mirror.apply_list(copy, revision(2, 14), at(20), at(40));
+    expect_that!(carried_over(&mirror), is_empty());
+    expect_that!(mirror.settles_at(), none());
+}
--- a/crates/lavenderseam_node/src/balancer/driver.rs
+++ b/crates/lavenderseam_node/src/balancer/driver.rs
@@ -46,8 +46,9 @@
     pub(crate) is_stopping: Cell<bool>,
     /// Time of the store's last answer to a list or watch, by kind of record.
     pub(crate) store_answered_at: RefCell<BTreeMap<RecordKind, Instant>>,
-    /// Newest epoch of the store that this process or another balancer has seen; `None` at first.
-    pub(crate) epoch: watch::Sender<Option<Epoch>>,
+    /// Newest epoch of the store that this process or another balancer has seen, and the time at
+    /// which this process learned of it; `None` at first.
+    pub(crate) epoch: watch::Sender<Option<(Epoch, Instant)>>,
 }
 
 /// Readiness endpoint of a balancer.
--- a/crates/lavenderseam_node/src/balancer/records.rs
+++ b/crates/lavenderseam_node/src/balancer/records.rs
@@ -143,11 +143,12 @@
 impl<C: PacketCodec> Driver<C> {
     /// Records an epoch of the store, which wakes the tasks that wait for a newer one.
     pub(super) fn observe_epoch(&self, epoch: Epoch, source: RecordSource) {
-        let previous = *self.epoch.borrow();
+        let previous = self.epoch.borrow().map(|(previous, _)| previous);
         if previous.is_some_and(|previous| previous >= epoch) {
             return;
         }
-        self.epoch.send_replace(Some(epoch));
+        let now = self.process.clock.now();
+        self.epoch.send_replace(Some((epoch, now)));
         let gauge = i64::try_from(epoch.0).unwrap_or(i64::MAX);
         self.process.metrics.store_epoch.set(gauge);
         if let Some(previous) = previous {
@@ -305,16 +306,18 @@
         self.driver.observe_epoch(epoch, RecordSource::Store);
     }
 
-    /// Returns the newest epoch of the store that this process or another balancer has seen.
+    /// Returns the newest epoch of the store that this process or another balancer has seen, and
+    /// the time at which this process learned of it.
     #[must_use]
-    pub fn newest_epoch(&self) -> Option<Epoch> {
+    pub fn newest_epoch(&self) -> Option<(Epoch, Instant)> {
         *self.driver.epoch.borrow()
     }
 
     /// Waits until this process or another balancer has seen an epoch newer than `epoch`.
     pub async fn wait_for_newer_epoch(&self, epoch: Epoch) {
         let mut epochs = self.driver.epoch.subscribe();
-        let is_newer = |newest: &Option<Epoch>| newest.is_some_and(|newest| newest > epoch);
+        let is_newer =
+            |newest: &Option<(Epoch, Instant)>| newest.is_some_and(|(newest, _)| newest > epoch);
         // The sender lives as long as the driver that this handle holds.
         let _ = epochs.wait_for(is_newer).await;
     }
