Decide the durations of watches outside the platform's adapter

Cause: the adapter, which should only translate, decided how long balancers watch the store; and its minimum durations let the first answer after a restore take up to 4.1 s with 40 balancers.

Change: passthrough::watch_schedule decides, with tests; durations are random from half a second on.

Result: watches that began together have a first end within 3 s for 1 to 40 balancers, and balancers together ask at most 4.5 times a second.

--- a/crates/lavenderseam_core/src/lib.rs
+++ b/crates/lavenderseam_core/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod flow;
 pub mod id;
 pub mod liveness;
+pub mod random;
 pub mod rank;
 pub mod record;
 pub mod relay;
--- a/crates/lavenderseam_passthrough/src/lib.rs
+++ b/crates/lavenderseam_passthrough/src/lib.rs
@@ -19,3 +19,4 @@
 pub mod flow;
 pub mod message;
 pub mod segment;
+pub mod watch_schedule;
--- /dev/null
+++ b/crates/lavenderseam_passthrough/src/watch_schedule.rs
@@ -0,0 +1,54 @@
+//! Durations of the watches by which balancers learn of changes in the store.
+//!
+//! A watch may outlive an outage of the store, and with it a restore from a copy, after which it
+//! waits for a revision that the store assigns to another change. So balancers end their watches
+//! of one kind of records early, in turn: the first answer of a restored store shows the new epoch,
+//! and gossip tells the others.
+
+use std::net::SocketAddrV4;
+use std::time::Duration;
+
+use lavenderseam_core::random::Sequence;
+
+/// Maximum duration of a watch for each balancer; the mean time between two ends of watches among
+/// all balancers is half of it.
+const DURATION_PER_BALANCER: Duration = Duration::from_millis(500);
+/// Minimum duration of a watch.
+const MIN_DURATION: Duration = Duration::from_millis(500);
+/// Maximum duration of a watch.
+const MAX_DURATION: Duration = Duration::from_secs(20);
+
+/// Durations of the watches of one balancer.
+#[derive(Clone, Debug)]
+pub struct WatchSchedule {
+    random: Sequence,
+}
+
+impl WatchSchedule {
+    /// Creates the schedule of the balancer at an address.
+    #[must_use]
+    pub fn new(balancer: SocketAddrV4) -> Self {
+        let seed = u64::from(balancer.ip().to_bits()) << 16 | u64::from(balancer.port());
+        Self {
+            random: Sequence::new(seed),
+        }
+    }
+
+    /// Returns the duration of a watch that only a change needs to end.
+    #[must_use]
+    pub const fn longest(&self) -> Duration {
+        MAX_DURATION
+    }
+
+    /// Returns the duration of the next watch that ends in turn with those of other balancers;
+    /// `balancers` is the number of all balancers.
+    ///
+    /// The duration is random, so that balancers whose watches all end at a change don't ask again
+    /// at the same time.
+    pub fn next_in_turn(&mut self, balancers: usize) -> Duration {
+        let balancers = u32::try_from(balancers).unwrap_or(u32::MAX);
+        let longest = DURATION_PER_BALANCER.saturating_mul(balancers);
+        let duration = longest.mul_f64(self.random.next_fraction());
+        duration.clamp(MIN_DURATION, MAX_DURATION)
+    }
+}
--- /dev/null
+++ b/crates/lavenderseam_passthrough/tests/watch_schedule.rs
@@ -0,0 +1,56 @@
+//! How often balancers together ask the store.
+
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::time::Duration;
+
+use googletest::prelude::*;
+use lavenderseam_passthrough::watch_schedule::WatchSchedule;
+
+fn schedules(count: u8) -> Vec<WatchSchedule> {
+    let address = |index| SocketAddrV4::new(Ipv4Addr::new(10, 1, 0, index), 7_000);
+    (0..count)
+        .map(|index| WatchSchedule::new(address(index)))
+        .collect()
+}
+
+/// Guards against a restored store that no balancer notices for long, because their watches began
+/// together and end together.
+#[gtest]
+fn watches_that_began_together_end_in_turn() {
+    for count in [1, 4, 12, 40] {
+        let mut schedules = schedules(count);
+        for _ in 0..20 {
+            let ends = schedules
+                .iter_mut()
+                .map(|schedule| schedule.next_in_turn(usize::from(count)));
+            let first = ends.min().unwrap_or_default();
+            expect_that!(first, le(Duration::from_secs(3)), "{count} balancers");
+        }
+    }
+}
+
+/// Guards against calls to the store that grow with the number of balancers.
+#[gtest]
+fn balancers_together_ask_a_few_times_a_second() {
+    for count in [4, 12, 40] {
+        let mut schedules = schedules(count);
+        let rates = schedules.iter_mut().map(|schedule| {
+            let total: Duration = (0..100)
+                .map(|_| schedule.next_in_turn(usize::from(count)))
+                .sum();
+            100.0 / total.as_secs_f64()
+        });
+        expect_that!(rates.sum::<f64>(), le(4.5), "{count} balancers");
+    }
+}
+
+#[gtest]
+fn a_large_fleet_asks_as_rarely_as_without_turns() {
+    let mut schedule = WatchSchedule::new(SocketAddrV4::new(Ipv4Addr::LOCALHOST, 7_000));
+    let mean = (0..100)
+        .map(|_| schedule.next_in_turn(7_000))
+        .sum::<Duration>()
+        / 100;
+    expect_that!(mean, ge(Duration::from_secs(15)));
+    expect_that!(mean, le(schedule.longest()));
+}
