Remember superseded writes by a hash of their content

Seen by reading: a mirror kept the content of up to 4,096 superseded objects, which for large desired states is far more memory than a balancer has; a revision parsed from text could lose high bits of its epoch; and a write that a list after a restore replaced was not remembered for the next restore.

Change: only revisions and hashes are remembered, the replaced writes among them, and parsing a revision checks its range.

--- a/crates/lavenderseam_core/src/catalog/mirror.rs
+++ b/crates/lavenderseam_core/src/catalog/mirror.rs
@@ -1,6 +1,9 @@
 //! Objects of one kind as a process reads them from the store by lists and watches.
 
 use std::collections::BTreeMap;
+use std::hash::{Hash, Hasher as _};
+
+use xxhash_rust::xxh3::Xxh3;
 
 use super::restore::{RESTORE_GRACE, SupersededWrites};
 use super::{Epoch, Revision};
@@ -25,7 +28,7 @@
     objects: BTreeMap<String, Object<T>>,
     /// Objects that a restored store lacks, by name.
     carried_over: BTreeMap<String, Object<T>>,
-    superseded: SupersededWrites<String, T>,
+    superseded: SupersededWrites<String>,
     /// Revision from which the next watch continues; `None` if the objects must be listed.
     position: Option<Revision>,
     /// Epoch of the last list.
@@ -36,7 +39,7 @@
     settles_at: Option<Instant>,
 }
 
-impl<T: Clone + PartialEq> Mirror<T> {
+impl<T: Hash> Mirror<T> {
     /// Replaces the objects by those of a list at a revision of the store.
     ///
     /// `epoch_seen_at` is the time at which the process learned of the epoch of the list, from the
@@ -76,8 +79,9 @@
             None => self.objects.remove(&name),
         };
         if let Some(replaced) = replaced {
-            let Object { revision, content } = replaced;
-            self.superseded.insert(name, revision, content);
+            let content_hash = replaced.content_hash();
+            self.superseded
+                .insert(name, replaced.revision, content_hash);
         }
     }
 
@@ -123,8 +127,8 @@
         for (name, object) in held {
             let listed = self.objects.get(&name);
             if listed.is_none_or(|listed| listed.revision != object.revision) {
-                self.superseded
-                    .insert(name, object.revision, object.content);
+                let content_hash = object.content_hash();
+                self.superseded.insert(name, object.revision, content_hash);
             }
         }
     }
@@ -135,10 +139,11 @@
         let (superseded, copy_limit) = (&self.superseded, self.copy_limit);
         let is_restored = |name: &String, object: &Object<T>| {
             object.revision <= copy_limit
-                && superseded.contains(name, object.revision, &object.content)
+                && superseded.contains(name, object.revision, object.content_hash())
         };
         self.objects
             .retain(|name, object| held.contains_key(name) || !is_restored(name, object));
+        let mut replaced = Vec::new();
         for (name, object) in held {
             match self.objects.get_mut(&name) {
                 None if object.revision.epoch() < revision.epoch() => {
@@ -150,15 +155,31 @@
                     // restored one at other processes as well.
                     *listed = Object { revision, ..object };
                 }
+                Some(listed) if listed.revision.number() != object.revision.number() => {
+                    replaced.push((name, object));
+                }
                 Some(_) => {}
             }
         }
+        for (name, object) in replaced {
+            let content_hash = object.content_hash();
+            self.superseded.insert(name, object.revision, content_hash);
+        }
         let objects = &self.objects;
         self.carried_over
             .retain(|name, _| !objects.contains_key(name));
     }
 }
 
+impl<T: Hash> Object<T> {
+    /// Returns a hash of the content.
+    fn content_hash(&self) -> u64 {
+        let mut hasher = Xxh3::new();
+        self.content.hash(&mut hasher);
+        hasher.finish()
+    }
+}
+
 impl<T> Default for Mirror<T> {
     fn default() -> Self {
         Self {
--- a/crates/lavenderseam_core/src/catalog/mod.rs
+++ b/crates/lavenderseam_core/src/catalog/mod.rs
@@ -30,7 +30,7 @@
 pub use digest::{BUCKET_COUNT, Digest, Root};
 pub use entry::Entry;
 pub use mirror::{Mirror, Object};
-pub use revision::{Epoch, Revision};
+pub use revision::{Epoch, ParseRevisionError, Revision};
 
 use crate::record::{Document, Id, Kind, Record};
 use restore::SupersededWrites;
@@ -72,8 +72,7 @@
     /// one of each record; `None` if it has not.
     memory_start: Option<Revision>,
     deletions: BTreeSet<(Revision, Id)>,
-    /// Superseded writes, each with the hash of its content.
-    superseded: SupersededWrites<Id, u64>,
+    superseded: SupersededWrites<Id>,
 }
 
 impl Catalog {
@@ -150,7 +149,7 @@
         self.may_be_from_copy(entry)
             && self
                 .superseded
-                .contains(&entry.id, entry.revision, &entry.content_hash())
+                .contains(&entry.id, entry.revision, entry.content_hash())
     }
 
     /// Records that the store was read at a revision, so that later writes of the same epoch don't
--- a/crates/lavenderseam_core/src/catalog/restore.rs
+++ b/crates/lavenderseam_core/src/catalog/restore.rs
@@ -23,24 +23,23 @@
 /// and a restore from it.
 const MAX_SUPERSEDED_WRITES: usize = 4_096;
 
-/// Writes of records that were replaced or deleted recently.
-///
-/// `K` identifies a record, and `W` is the content of a write or stands for it.
+/// Writes of records that were replaced or deleted recently, each as its revision and a hash of its
+/// content. `K` identifies a record.
 #[derive(Clone, Debug)]
-pub(crate) struct SupersededWrites<K, W> {
-    writes: BTreeMap<K, Vec<(Revision, W)>>,
+pub(crate) struct SupersededWrites<K> {
+    writes: BTreeMap<K, Vec<(Revision, u64)>>,
     /// Records of the writes, oldest write first.
     order: VecDeque<K>,
 }
 
-impl<K: Clone + Ord, W: PartialEq> SupersededWrites<K, W> {
+impl<K: Clone + Ord> SupersededWrites<K> {
     /// Adds a write that was replaced or deleted.
-    pub(crate) fn insert(&mut self, record: K, revision: Revision, write: W) {
+    pub(crate) fn insert(&mut self, record: K, revision: Revision, content_hash: u64) {
         self.order.push_back(record.clone());
         self.writes
             .entry(record)
             .or_default()
-            .push((revision, write));
+            .push((revision, content_hash));
         if self.order.len() > MAX_SUPERSEDED_WRITES {
             self.remove_oldest();
         }
@@ -48,11 +47,11 @@
 
     /// Returns `true` if a write of a newer epoch is one that was superseded in an older epoch, so
     /// that it comes from a copy.
-    pub(crate) fn contains(&self, record: &K, revision: Revision, write: &W) -> bool {
-        let is_same = |(superseded, content): &(Revision, W)| {
+    pub(crate) fn contains(&self, record: &K, revision: Revision, content_hash: u64) -> bool {
+        let is_same = |(superseded, superseded_hash): &(Revision, u64)| {
             superseded.epoch() < revision.epoch()
                 && superseded.number() == revision.number()
-                && content == write
+                && *superseded_hash == content_hash
         };
         let writes = self.writes.get(record);
         writes.is_some_and(|writes| writes.iter().any(is_same))
@@ -71,7 +70,7 @@
     }
 }
 
-impl<K, W> Default for SupersededWrites<K, W> {
+impl<K> Default for SupersededWrites<K> {
     fn default() -> Self {
         Self {
             writes: BTreeMap::new(),
--- a/crates/lavenderseam_core/src/catalog/revision.rs
+++ b/crates/lavenderseam_core/src/catalog/revision.rs
@@ -1,7 +1,6 @@
 //! Positions in the store's order of writes.
 
 use std::fmt;
-use std::num::ParseIntError;
 use std::str::FromStr;
 
 use serde::{Deserialize, Serialize};
@@ -29,6 +28,10 @@
 #[serde(transparent)]
 pub struct Revision(pub u64);
 
+/// Error for a text that isn't a revision; holds the text.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ParseRevisionError(pub String);
+
 impl Revision {
     /// Creates the revision of the write with a number; `None` if the number or the epoch is out of
     /// range.
@@ -64,17 +67,24 @@
 }
 
 impl FromStr for Revision {
-    type Err = ParseIntError;
+    type Err = ParseRevisionError;
 
-    fn from_str(text: &str) -> Result<Self, ParseIntError> {
-        match text.split_once(':') {
-            None => text.parse().map(Self),
-            Some((epoch, number)) => {
-                let (epoch, number) = (epoch.parse::<u32>()?, number.parse::<u64>()?);
-                Ok(Self(
-                    u64::from(epoch) << NUMBER_BITS | (number & MAX_NUMBER),
-                ))
-            }
-        }
+    fn from_str(text: &str) -> Result<Self, ParseRevisionError> {
+        let (epoch, number) = text.split_once(':').unwrap_or(("0", text));
+        let parts = epoch.parse().ok().zip(number.parse().ok());
+        let revision = parts.and_then(|(epoch, number)| Self::new(Epoch(epoch), number));
+        revision.ok_or_else(|| ParseRevisionError(text.to_owned()))
     }
 }
+
+impl fmt::Display for ParseRevisionError {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            formatter,
+            "{:?} is no revision: a number, or epoch:number",
+            self.0
+        )
+    }
+}
+
+impl std::error::Error for ParseRevisionError {}
