Delete no carried record at the word of a process that started since

Seen: a process that started within the grace period after a restore took the store's list for complete, and its pushes had all others delete what the store had lost. Found in the read-through, shown with the relay.

Cause: a process without records settled the new epoch at once, even if its peers were in the grace period, and deletions were taken from any process.

Change: a process that starts takes the grace period over from its peers, and a deletion by one that doesn't know of the restore is ignored until the epoch is settled, as an older write already was.

Result: a_process_that_starts_within_the_grace_period_deletes_nothing failed before and passes.

--- a/crates/lavenderseam_core/src/catalog/mod.rs
+++ b/crates/lavenderseam_core/src/catalog/mod.rs
@@ -80,9 +80,10 @@
     /// listed, or sent by a process that doesn't know of the restore.
     ///
     /// In addition to what [`Self::apply`] ignores, a write is ignored until the epoch is settled if
-    /// it may have been superseded before the catalog received all writes.
+    /// it may have been superseded before the catalog received all writes, and a deletion if it may
+    /// follow from the record's absence in the copy.
     pub fn apply_unverified(&mut self, entry: Entry) -> ApplyOutcome {
-        if self.may_be_older_than_memory(&entry) {
+        if self.may_be_older_than_memory(&entry) || self.may_be_absent_from_copy(&entry) {
             return ApplyOutcome::Restored;
         }
         self.apply(entry)
@@ -137,6 +138,15 @@
             && self.may_be_from_copy(entry)
     }
 
+    /// Returns `true` if an entry of an epoch that isn't settled deletes a record that is held from
+    /// an older epoch.
+    fn may_be_absent_from_copy(&self, entry: &Entry) -> bool {
+        let held = self.entries.get(&entry.id);
+        entry.document.is_none()
+            && entry.revision.epoch() > self.settled_epoch
+            && held.is_some_and(|held| held.revision.epoch() < entry.revision.epoch())
+    }
+
     /// Records the revision since which the catalog receives all writes of the store; `None` if it
     /// receives only some of them.
     pub fn set_memory_start(&mut self, revision: Option<Revision>) {
--- a/crates/lavenderseam_core/src/relay/node/mod.rs
+++ b/crates/lavenderseam_core/src/relay/node/mod.rs
@@ -199,19 +199,7 @@
     /// Handles an event and returns the actions to perform.
     pub fn handle(&mut self, event: Event, now: Instant) -> Vec<Action> {
         let mut actions = self.check_pause(now);
-        if let Some(epoch) = event.epoch() {
-            self.observe_epoch(epoch, now, &mut actions);
-        }
-        match &event {
-            Event::StoreListed { revision, .. } => self.catalog.limit_copy(*revision),
-            Event::PushReceived(push) => self.observe_restore(&push.stamp, now),
-            Event::PullFinished {
-                answer: Some(answer),
-                ..
-            } => self.observe_restore(&answer.stamp, now),
-            _ => {}
-        }
-        self.settle_if_due(now);
+        self.observe_restores(&event, now, &mut actions);
         match event {
             Event::Tick => self.tick(now, &mut actions),
             Event::WriteAccepted(entry) => {
--- a/crates/lavenderseam_core/tests/relay_restore.rs
+++ b/crates/lavenderseam_core/tests/relay_restore.rs
@@ -258,3 +258,38 @@
     let elapsed = fleet.run_until(seconds(30), |fleet| all_hold(fleet, &id, DomainState::Out));
     assert_that!(elapsed, some(lt(seconds(9))));
 }
+
+/// Guards against a process that starts within the grace period, takes the store's list for
+/// complete, and has the others delete what the store has lost.
+#[gtest]
+fn a_process_that_starts_within_the_grace_period_deletes_nothing() {
+    let mut fleet = settled_fleet(60, 2, 30);
+    let copy = fleet.store.head().number();
+    let id = fleet.set_domain("suva-b", DomainState::Out);
+    fleet.run(seconds(2));
+    let lost = fleet.store.restore(copy);
+    fleet.run(seconds(2));
+    let seed = fleet.address(0);
+    // The regular watchers are among the first processes, which are balancers every fifth.
+    for index in [5, 10, 15, 20, 9, 12] {
+        fleet.restart(index, vec![seed]);
+    }
+    for index in [25, 30, 13] {
+        fleet.restart(index, Vec::new());
+    }
+    let others = |fleet: &Fleet| {
+        let restarted_alone = [25, 30, 13];
+        (0..60)
+            .filter(|index| !restarted_alone.contains(index))
+            .filter(|index| ![5, 10, 15, 20, 9, 12].contains(index))
+            .all(|index| state_at(fleet, index, &id) == Some(DomainState::Out))
+    };
+    for _ in 0..30 {
+        fleet.run(Duration::from_millis(200));
+        assert_that!(others(&fleet), eq(true));
+    }
+    write_again(&mut fleet, lost);
+    fleet.run(seconds(30));
+    expect_that!(all_hold(&fleet, &id, DomainState::Out), eq(true));
+    expect_that!(fleet.has_converged(), eq(true));
+}
