--- a/crates/lavenderseam_node/src/balancer/records.rs
+++ b/crates/lavenderseam_node/src/balancer/records.rs
@@ -113,11 +113,16 @@
                 if let Some(desired_state) = records.desired_state {
                     driver.apply_desired_state(desired_state, RecordSource::Peer);
                 }
-                driver.apply_disabled_domains(records.disabled_domains, RecordSource::Peer);
+                driver.apply_disabled_domains(
+                    records.disabled_domains,
+                    Some(records.carried_over),
+                    RecordSource::Peer,
+                );
                 let now = driver.process.clock.now();
-                let mut balancer = driver.balancer.borrow_mut();
-                balancer.carry_over_domains_of_peer(records.carried_over, now);
-                balancer.merge_targets(&records.targets, now);
+                driver
+                    .balancer
+                    .borrow_mut()
+                    .merge_targets(&records.targets, now);
                 return;
             }
             Err(error) => error.to_string(),
@@ -194,21 +199,30 @@
         }
     }
 
-    /// Applies a set of disabled failure domains; logs it if the set has changed.
-    fn apply_disabled_domains(&self, disabled_domains: OutOfServiceDomains, source: RecordSource) {
+    /// Applies a set of disabled failure domains, and those whose orders a restored store lacks; logs
+    /// whether the set is newer or older than the current one.
+    fn apply_disabled_domains(
+        &self,
+        disabled_domains: OutOfServiceDomains,
+        carried_over: Option<CarriedOverDomains>,
+        source: RecordSource,
+    ) {
+        let now = self.process.clock.now();
         let revision = disabled_domains.revision;
         let domains = disabled_domains.domains.iter().cloned().collect();
-        let held_revision = self.balancer.borrow().out_of_service_domains().revision;
+        let mut balancer = self.balancer.borrow_mut();
+        let held_revision = balancer.out_of_service_domains().revision;
         // A newer revision may list the same failure domains, which is not worth a log line.
-        let changes =
-            self.balancer.borrow().out_of_service_domains().domains != disabled_domains.domains;
-        let applied = self
-            .balancer
-            .borrow_mut()
-            .set_out_of_service_domains(disabled_domains);
+        let changes = balancer.out_of_service_domains().domains != disabled_domains.domains;
+        let applied = balancer.set_out_of_service_domains(disabled_domains);
+        match (carried_over, source) {
+            (Some(lost), RecordSource::Store) => balancer.carry_over_domains(lost, now),
+            (Some(lost), RecordSource::Peer) => balancer.carry_over_domains_of_peer(lost, now),
+            (None, _) => {}
+        }
+        let carried_over = balancer.carried_over_domains(now);
+        drop(balancer);
         if applied && changes {
-            let now = self.process.clock.now();
-            let carried_over = self.balancer.borrow().carried_over_domains(now);
             self.process.log(&Event::DisabledDomains {
                 revision: revision.into(),
                 domains,
@@ -266,9 +280,16 @@
     }
 
     /// Applies the set of disabled failure domains read from the store.
-    pub fn apply_disabled_domains(&self, disabled_domains: OutOfServiceDomains) {
+    ///
+    /// `carried_over` holds those that stay disabled although the restored store lacks their
+    /// orders; `None` outside the grace period after a restore.
+    pub fn apply_disabled_domains(
+        &self,
+        disabled_domains: OutOfServiceDomains,
+        carried_over: Option<CarriedOverDomains>,
+    ) {
         self.driver
-            .apply_disabled_domains(disabled_domains, RecordSource::Store);
+            .apply_disabled_domains(disabled_domains, carried_over, RecordSource::Store);
     }
 
     /// Applies the list of balancers that are registered in the store.
@@ -294,13 +315,6 @@
         self.driver.process.record_malformed("store", error);
     }
 
-    /// Keeps failure domains disabled whose orders the restored store lacks.
-    pub fn carry_over_domains(&self, lost: CarriedOverDomains) {
-        let now = self.driver.process.clock.now();
-        let mut balancer = self.driver.balancer.borrow_mut();
-        balancer.carry_over_domains(lost, now);
-    }
-
     /// Records the epoch of an answer of the store.
     pub fn observe_epoch(&self, epoch: Epoch) {
         self.driver.observe_epoch(epoch, RecordSource::Store);
