Ask peers of another epoch for their records

Seen: a balancer that started after a restore and read an older version from the copy didn't ask peers that still held the lost version, as long as they knew the same targets.

Cause: gossip was compared by revision only, and the lost version has the older epoch.

Change: balancers also fetch records when the epochs of their desired states differ; the version decides.

Result: a_peer_with_an_older_epoch_is_asked_for_its_records failed before and passes.

--- a/crates/lavenderseam_passthrough/src/balancer/peers.rs
+++ b/crates/lavenderseam_passthrough/src/balancer/peers.rs
@@ -70,7 +70,9 @@
     ) {
         let newer = gossip.desired_revision > own.desired_revision
             || gossip.out_domains_revision > own.out_domains_revision;
-        let differs = newer || gossip.targets_digest != own.targets_digest;
+        // After a restore of the store, the newer version may be in the older epoch.
+        let other_epoch = gossip.desired_revision.epoch() != own.desired_revision.epoch();
+        let differs = newer || other_epoch || gossip.targets_digest != own.targets_digest;
         if !differs {
             self.last_agreement = Some(now);
             self.divergent
