Link only public items in the documentation of restores

Cause: the documentation build rejects links from public pages to private items.

Change: the sentence names the behaviour without a link.

Result: cargo doc is clean with warnings denied.

--- a/crates/lavenderseam_core/src/catalog/restore.rs
+++ b/crates/lavenderseam_core/src/catalog/restore.rs
@@ -6,7 +6,7 @@
 //! shows older content in the newer epoch. So what a process accepted before the restore stays in
 //! force until its owner writes it again, at most for [`RESTORE_GRACE`]; after that, the store's
 //! records count. Meanwhile, a process recognises old content by the writes that it has seen
-//! superseded ([`SupersededWrites`]), and every other write of the new epoch takes effect at once.
+//! superseded, and every other write of the new epoch takes effect at once.
 
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
