Announce revisions of the simulated platform in order

Seen by reading: since the simulated object API can go back, the last write to finish set the latest revision, so two concurrent writes could leave the lower one there, and a watch after it waited for nothing.

Change: the latest revision is sent under the lock of the objects.

--- a/crates/lavenderseam_bench/src/stand_ins/platform/serve.rs
+++ b/crates/lavenderseam_bench/src/stand_ins/platform/serve.rs
@@ -89,7 +89,11 @@
         match outcome {
             Ok(revision) => {
                 self.report.lock().writes += 1;
-                self.latest_revision.send_replace(revision);
+                // Sent under the lock, so that concurrent writes and restores announce their
+                // revisions in order.
+                let objects = self.objects.lock();
+                self.latest_revision.send_replace(objects.revision());
+                drop(objects);
                 let mut response = Json(json!({ "revision": revision })).into_response();
                 response.extensions_mut().insert(WriteApplied);
                 response
