Keep the retry delay of a refusal when a later attempt gets no answer

Cause: a caller whose last retry was in flight at its deadline reported that attempt's failure, which has no retry delay, although an earlier attempt of the same request had been refused with one and none had run. Now the outcome keeps the delay of the latest refusal that had one, for idempotent requests as well.

--- a/crates/lavenderseam_agent/tests/serving.rs
+++ b/crates/lavenderseam_agent/tests/serving.rs
@@ -7,7 +7,7 @@
 
 use cluster::{Cluster, TestBackend, wait_until};
 use googletest::prelude::*;
-use lavenderseam_caller::Outcome;
+use lavenderseam_caller::{Failure, Outcome};
 use lavenderseam_core::request::IdempotencyKey;
 
 /// Concurrent requests that the cluster's group record allows while the backend server is cold.
@@ -186,6 +186,44 @@
     )
 }
 
+/// A refused request keeps its retry delay when the deadline passes during a later attempt, here
+/// because the agent crashes before that attempt.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn an_unanswered_retry_keeps_the_retry_delay_of_the_refusal() -> Result<()> {
+    let cluster = Cluster::new().await;
+    let backend = TestBackend::start().await;
+    backend.counters.work_ms.store(60_000, Ordering::SeqCst);
+    let agent = cluster.start_agent("groomer-1", &backend).await;
+    let busy_caller = cluster.new_caller();
+    for n in 0..COLD_SLOTS {
+        let busy_caller = busy_caller.clone();
+        tokio::spawn(async move { busy_caller.get(&format!("/lookup/{n}")).await });
+    }
+    wait_until(|| backend.counters.in_flight.load(Ordering::SeqCst) == COLD_SLOTS).await;
+    let caller = cluster.new_caller();
+    let request = tokio::spawn({
+        let caller = caller.clone();
+        let key: IdempotencyKey = "refused".parse().or_fail()?;
+        let request_timeout = Duration::from_millis(1_500);
+        async move {
+            caller
+                .post_once("/edits", &key, "refused".into(), request_timeout)
+                .await
+        }
+    });
+    wait_until(|| caller.statistics().retries > 0).await;
+    agent.kill();
+    let minimum_retry_delay = Duration::from_millis(10);
+    verify_that!(
+        request.await.or_fail()?,
+        pat!(Outcome::Refused {
+            retry_after: some(ge(&minimum_retry_delay)),
+            failure: not(pat!(Failure::Refused { .. })),
+        })
+    )
+}
+
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
 async fn an_unreachable_backend_server_ran_nothing() -> Result<()> {
--- a/crates/lavenderseam_caller/src/at_most_once.rs
+++ b/crates/lavenderseam_caller/src/at_most_once.rs
@@ -34,6 +34,8 @@
         let mut binding = None;
         let mut execution = ExecutionStatus::NotRun;
         let mut retries = 0;
+        // A later attempt without an answer doesn't invalidate the advice of a refusal.
+        let mut last_retry_after = None;
         let mut attempts = AttemptTimes::default();
         loop {
             let started = Instant::now();
@@ -52,13 +54,15 @@
                         && execution == ExecutionStatus::NotRun
                         && !attempts.fits_within(remaining)
                     {
-                        return Outcome::from_failure(Failure::DeadlineExceeded, execution);
+                        let failure = Failure::DeadlineExceeded;
+                        return Outcome::from_failure(failure, execution, last_retry_after);
                     }
                     binding = Some(new_binding);
                     continue;
                 }
                 AttemptResult::Failed(failure) => failure,
             };
+            last_retry_after = failure.retry_after().or(last_retry_after);
             match failure {
                 // The request will never run under this binding; it may run under a new one, on
                 // this agent or another.
@@ -89,7 +93,7 @@
                 .wait_before_retry(failure, retries, deadline, can_finish_in)
                 .await
             {
-                return Outcome::from_failure(failure, execution);
+                return Outcome::from_failure(failure, execution, last_retry_after);
             }
             retries += 1;
         }
--- a/crates/lavenderseam_caller/src/caller.rs
+++ b/crates/lavenderseam_caller/src/caller.rs
@@ -122,6 +122,7 @@
     {
         let mut retries = 0;
         let mut execution = ExecutionStatus::NotRun;
+        let mut last_retry_after = None;
         loop {
             let result = timeout_at(deadline, attempt(self)).await;
             let failure = match result.unwrap_or(Err(Failure::DeadlineExceeded)) {
@@ -131,6 +132,7 @@
                 }
                 Err(failure) => failure,
             };
+            last_retry_after = failure.retry_after().or(last_retry_after);
             if failure.execution() == ExecutionStatus::Unknown {
                 execution = ExecutionStatus::Unknown;
             }
@@ -138,7 +140,7 @@
                 .wait_before_retry(failure, retries, deadline, |_| true)
                 .await
             {
-                return Outcome::from_failure(failure, execution);
+                return Outcome::from_failure(failure, execution, last_retry_after);
             }
             retries += 1;
         }
--- a/crates/lavenderseam_caller/src/outcome.rs
+++ b/crates/lavenderseam_caller/src/outcome.rs
@@ -13,7 +13,8 @@
     Answered(T),
     /// The request failed and did not run.
     Refused {
-        /// Time after which the request may be retried, if the refusal has it.
+        /// Time after which the request may be retried, according to the latest refusal that had
+        /// one.
         retry_after: Option<Duration>,
         /// Failure of the last attempt.
         failure: Failure,
@@ -24,11 +25,16 @@
 }
 
 impl<T> Outcome<T> {
-    /// Returns the outcome of a request whose last attempt failed.
-    pub(crate) fn from_failure(failure: Failure, execution: ExecutionStatus) -> Self {
+    /// Returns the outcome of a request whose last attempt failed; `retry_after` is the time of the
+    /// latest refusal of any attempt.
+    pub(crate) const fn from_failure(
+        failure: Failure,
+        execution: ExecutionStatus,
+        retry_after: Option<Duration>,
+    ) -> Self {
         match execution {
             ExecutionStatus::NotRun => Self::Refused {
-                retry_after: failure.retry_after(),
+                retry_after,
                 failure,
             },
             ExecutionStatus::Unknown => Self::Unknown(failure),
