--- a/crates/lavenderseam_node/src/agent/driver.rs
+++ b/crates/lavenderseam_node/src/agent/driver.rs
@@ -10,6 +10,7 @@
 use lavenderseam_core::time::Instant;
 use lavenderseam_passthrough::agent::{
     Action, Agent, Heartbeat, HeartbeatEffect, OutboundVerdict, RequestOutcome, Verdict,
+    Verification,
 };
 use lavenderseam_passthrough::message::{ForwardHeader, Message, ReturnHeader};
 use lavenderseam_passthrough::segment::Segment;
@@ -72,6 +73,14 @@
                     let now = self.process.clock.now();
                     self.agent.borrow_mut().on_balancer_hello(&hello, from, now);
                 }
+                Ok((Message::Verify, bytes, from)) => self.verify_packet(bytes, from),
+                Ok((Message::LocationQuery(query), _, from)) => {
+                    let now = self.process.clock.now();
+                    self.process.metrics.location_queries.inc();
+                    let mut agent = self.agent.borrow_mut();
+                    let reply = agent.on_location_query(&query, from, now);
+                    self.process.send(&Message::LocationReply(reply), &[], from);
+                }
                 Ok((_, _, from)) => {
                     self.process.record_malformed(
                         "process",
@@ -257,6 +266,36 @@
         }
     }
 
+    /// Handles a copy of a packet whose flow the backend server may hold.
+    fn verify_packet(&self, bytes: &mut [u8], balancer: SocketAddrV4) {
+        self.process.metrics.verifications.inc();
+        let now = self.process.clock.now();
+        let segment = match self.codec.decode_from_caller(bytes) {
+            Ok(packet) => packet.segment,
+            Err(error) => return self.process.record_malformed("balancer", &error),
+        };
+        let verification = {
+            let mut agent = self.agent.borrow_mut();
+            agent.on_verification(&segment, balancer, now)
+        };
+        match verification {
+            Verification::Held { mark, confirmation } => {
+                self.codec.write_mark(bytes, mark);
+                self.deliver(bytes);
+                self.process
+                    .send(&Message::FlowHeld(confirmation), &[], balancer);
+            }
+            Verification::Deliver { mark } => {
+                self.codec.write_mark(bytes, mark);
+                self.deliver(bytes);
+            }
+            Verification::Denied(denial) => {
+                self.process
+                    .send(&Message::FlowDenied(denial), &[], balancer);
+            }
+        }
+    }
+
     /// Sends a packet to the backend server.
     fn deliver(&self, bytes: &[u8]) {
         match self.backend_socket.send(bytes) {
@@ -309,7 +348,18 @@
             agent.on_backend_packet(segment, packet.bounced_mark, now)
         };
         match outbound {
-            OutboundVerdict::SendToCaller { outcome: reply } => {
+            OutboundVerdict::Deny { balancer, denial } => {
+                self.process
+                    .send(&Message::FlowDenied(denial), &[], balancer);
+            }
+            OutboundVerdict::SendToCaller {
+                outcome: reply,
+                confirmation,
+            } => {
+                if let Some((balancer, confirmation)) = confirmation {
+                    self.process
+                        .send(&Message::FlowHeld(confirmation), &[], balancer);
+                }
                 if let Some(reply) = reply {
                     self.record_reply(segment, reply, now);
                 }
--- a/crates/lavenderseam_node/src/balancer/driver.rs
+++ b/crates/lavenderseam_node/src/balancer/driver.rs
@@ -9,12 +9,16 @@
 use ::http::StatusCode;
 use lavenderseam_core::catalog::{Epoch, Revision};
 use lavenderseam_core::time::Instant;
-use lavenderseam_passthrough::balancer::{Action, Balancer, DiscardReason, Verdict};
-use lavenderseam_passthrough::message::{Announcement, Message, ReturnHeader};
+use lavenderseam_passthrough::balancer::{
+    Action, Balancer, DiscardReason, Resolution, SearchAction, Verdict,
+};
+use lavenderseam_passthrough::flow::Flow;
+use lavenderseam_passthrough::message::{Announcement, LocationReply, Message, ReturnHeader};
 use lavenderseam_passthrough::segment::Segment;
 
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 
+use super::held::HeldPackets;
 use super::records::{self, RecordKind, RecordSource};
 use crate::codec::PacketCodec;
 use crate::http::{Request, Service, ServiceResponse};
@@ -40,6 +44,10 @@
     pub(crate) packet_socket: DatagramSocket,
     /// Buffer in which resets are encoded.
     pub(crate) reset_buffer: RefCell<Vec<u8>>,
+    /// Packets of flows whose owner is being searched for.
+    pub(crate) held_packets: RefCell<HeldPackets>,
+    /// Wakes the task that runs the searches, after a packet has been held.
+    pub(crate) search_started: Notify,
     /// Readiness at the last update of the status.
     pub(crate) was_ready: Cell<bool>,
     /// `true` once a signal has requested shutdown.
@@ -99,6 +107,30 @@
         }
     }
 
+    /// Runs the searches for the owners of flows forever.
+    pub(crate) async fn run_searches(&self) {
+        loop {
+            let next_at = self.balancer.borrow().next_search_at();
+            let Some(next_at) = next_at else {
+                self.search_started.notified().await;
+                continue;
+            };
+            let now = self.process.clock.now();
+            if next_at > now {
+                // A search that starts meanwhile may be due earlier.
+                let sleep = tokio::time::sleep(next_at.since(now));
+                tokio::select! {
+                    () = sleep => {}
+                    () = self.search_started.notified() => {}
+                }
+                continue;
+            }
+            let actions = self.balancer.borrow_mut().poll_searches(now);
+            self.apply_search_actions(actions, now);
+            tokio::task::yield_now().await;
+        }
+    }
+
     /// Reports itself as not ready and waits while packets are still forwarded.
     ///
     /// The wait lets the network fabric move flows to other balancers.
@@ -161,6 +193,7 @@
                 self.process.metrics.forwarded.inc();
                 self.process.send(&Message::Forward(header), bytes, agent);
             }
+            Verdict::Hold => self.hold_packet(segment, bytes, now),
             Verdict::Reset(reason) => {
                 let label = CauseLabel {
                     cause: DisplayLabel(reason),
@@ -174,16 +207,70 @@
                     self.process.record_socket_error("packets", &error);
                 }
             }
-            Verdict::Drop(reason) => {
-                let label = CauseLabel {
-                    cause: DisplayLabel(reason),
-                };
-                self.process.metrics.drops.get_or_create(&label).inc();
-                self.log_unroutable(segment, PacketAction::Drop, reason, now);
+            Verdict::Drop(reason) => self.drop_packet(segment, reason, now),
+        }
+    }
+
+    /// Counts and logs a packet that is dropped.
+    fn drop_packet(&self, segment: &Segment, reason: DiscardReason, now: Instant) {
+        let label = CauseLabel {
+            cause: DisplayLabel(reason),
+        };
+        self.process.metrics.drops.get_or_create(&label).inc();
+        self.log_unroutable(segment, PacketAction::Drop, reason, now);
+    }
+
+    /// Keeps a packet until the owner of its flow is known.
+    fn hold_packet(&self, segment: &Segment, bytes: &[u8], now: Instant) {
+        if self.held_packets.borrow_mut().insert(segment, bytes) {
+            self.process.metrics.held.inc();
+        } else {
+            self.drop_packet(segment, DiscardReason::SearchLimit, now);
+        }
+        self.search_started.notify_one();
+    }
+
+    /// Sends location queries, and handles the packets of flows whose search has ended.
+    fn apply_search_actions(&self, actions: Vec<SearchAction>, now: Instant) {
+        for action in actions {
+            match action {
+                SearchAction::Query { agent, query } => {
+                    self.process.metrics.location_queries.inc();
+                    self.process
+                        .send(&Message::LocationQuery(query), &[], agent);
+                }
+                SearchAction::Verify { flow, agents } => self.send_verifications(flow, &agents),
+                SearchAction::Resolve { flow, resolution } => {
+                    self.release_packets(flow, resolution, now);
+                }
             }
         }
     }
 
+    /// Sends a copy of a flow's most recent kept packet to agents.
+    fn send_verifications(&self, flow: Flow, agents: &[SocketAddrV4]) {
+        let held_packets = self.held_packets.borrow();
+        let Some(packet) = held_packets.last(flow) else {
+            return;
+        };
+        for agent in agents {
+            self.process.metrics.verifications.inc();
+            self.process.send(&Message::Verify, &packet.bytes, *agent);
+        }
+    }
+
+    /// Handles the packets that were kept while the owner of their flow was searched for.
+    fn release_packets(&self, flow: Flow, resolution: Resolution, now: Instant) {
+        let packets = self.held_packets.borrow_mut().remove(flow);
+        for packet in packets {
+            let segment = packet.segment;
+            let verdict = resolution
+                .verdict(&segment)
+                .unwrap_or_else(|| self.balancer.borrow_mut().on_caller_packet(&segment, now));
+            self.apply_verdict(verdict, &segment, &packet.bytes, now);
+        }
+    }
+
     /// Logs a packet that can't be forwarded.
     fn log_unroutable(
         &self,
@@ -217,19 +304,44 @@
         let now = self.process.clock.now();
         match message {
             Message::Return(returned) => self.handle_returned(returned, packet, from, now),
-            Message::FlowHeld(held) => self.balancer.borrow_mut().on_flow_held(&held, from, now),
+            Message::FlowHeld(held) => {
+                let actions = self.balancer.borrow_mut().on_flow_held(&held, from, now);
+                self.apply_search_actions(actions, now);
+            }
+            Message::FlowDenied(denial) => {
+                let actions = {
+                    let mut balancer = self.balancer.borrow_mut();
+                    balancer.on_flow_denied(&denial, from, now)
+                };
+                self.apply_search_actions(actions, now);
+            }
             Message::Announcement(announced) => self.handle_announcement(&announced, from, now),
             Message::Gossip(gossip) => {
                 self.observe_epoch(gossip.epoch(), RecordSource::Peer);
                 self.balancer.borrow_mut().on_gossip(&gossip, from, now);
             }
-            Message::Forward(_) | Message::Hello(_) => self.process.log(&Event::MalformedInput {
-                source: "process",
-                error: format!("{from} sent a message for an agent to this balancer"),
-            }),
+            Message::LocationReply(reply) => self.handle_location_reply(&reply, from, now),
+            Message::Forward(_)
+            | Message::Hello(_)
+            | Message::LocationQuery(_)
+            | Message::Verify => {
+                self.process.log(&Event::MalformedInput {
+                    source: "process",
+                    error: format!("{from} sent a message for an agent to this balancer"),
+                });
+            }
         }
     }
 
+    /// Handles the answer of an agent to a location query.
+    fn handle_location_reply(&self, reply: &LocationReply, agent: SocketAddrV4, now: Instant) {
+        let actions = {
+            let mut balancer = self.balancer.borrow_mut();
+            balancer.on_location_reply(reply, agent, now)
+        };
+        self.apply_search_actions(actions, now);
+    }
+
     /// Handles a packet that an agent returned undelivered.
     fn handle_returned(
         &self,
--- a/crates/lavenderseam_node/src/balancer/mod.rs
+++ b/crates/lavenderseam_node/src/balancer/mod.rs
@@ -1,6 +1,7 @@
 //! The balancer: forwards packets of callers to agents.
 
 mod driver;
+mod held;
 mod records;
 
 use std::cell::{Cell, RefCell};
@@ -11,7 +12,7 @@
 use std::time::Duration;
 
 use lavenderseam_passthrough::balancer::{Balancer, Identity};
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 
 use crate::codec::PacketCodec;
 use crate::http;
@@ -81,6 +82,8 @@
         balancer: RefCell::new(Balancer::new(place)),
         packet_socket: DatagramSocket::bind(settings.packet_address).await?,
         reset_buffer: RefCell::default(),
+        held_packets: RefCell::default(),
+        search_started: Notify::new(),
         was_ready: Cell::new(false),
         is_stopping: Cell::new(false),
         store_answered_at: RefCell::default(),
@@ -113,6 +116,8 @@
     tokio::task::spawn_local(async move { task_driver.receive_messages().await });
     let task_driver = Rc::clone(&driver);
     tokio::task::spawn_local(async move { task_driver.run_ticks(TICK_INTERVAL).await });
+    let task_driver = Rc::clone(&driver);
+    tokio::task::spawn_local(async move { task_driver.run_searches().await });
     loop {
         let action = tokio::select! {
             action = signals.next() => action,
--- a/crates/lavenderseam_node/src/metrics.rs
+++ b/crates/lavenderseam_node/src/metrics.rs
@@ -59,6 +59,13 @@
     pub drops: Family<CauseLabel, Counter>,
     /// Number of packets that agents returned to balancers, by reason.
     pub returned: Family<ReasonLabel, Counter>,
+    /// Number of packets that a balancer kept while it searched for the owners of their flows.
+    pub held: Counter,
+    /// Number of location queries that a balancer sent to agents, or an agent answered.
+    pub location_queries: Counter,
+    /// Number of copies of packets that a balancer sent to agents, or an agent received, to verify
+    /// their flows.
+    pub verifications: Counter,
     /// Number of inputs that could not be decoded, such as packets, messages and records.
     pub malformed: Counter,
     /// Number of failed operations on sockets.
@@ -104,6 +111,14 @@
         registry.register("resets", "Flows reset", self.resets.clone());
         registry.register("drops", "Packets dropped", self.drops.clone());
         registry.register("returned", "Packets returned", self.returned.clone());
+        registry.register("held", "Packets kept during a search", self.held.clone());
+        registry.register(
+            "location_queries",
+            "Queries for the owners of flows",
+            self.location_queries.clone(),
+        );
+        let verifications = self.verifications.clone();
+        registry.register("verifications", "Copies to verify flows", verifications);
         registry.register("malformed", "Unreadable input", self.malformed.clone());
         registry.register(
             "socket_errors",
--- a/crates/lavenderseam_passthrough/src/agent/admission.rs
+++ b/crates/lavenderseam_passthrough/src/agent/admission.rs
@@ -41,6 +41,12 @@
                 Some(FlowState::Closed) | None => self.admit_flow(segment.flow, header, now),
             };
         }
+        self.admit_segment(segment)
+    }
+
+    /// Decides about a packet of an open flow, without any effect on the agent's state.
+    pub(super) fn admit_segment(&self, segment: &Segment) -> Result<Admission, Reason> {
+        let entry = self.flows.get(segment.flow);
         if entry.is_some_and(|entry| entry.accepts(segment)) {
             return Ok(Admission::KnownFlow);
         }
--- a/crates/lavenderseam_passthrough/src/agent/delivered.rs
+++ b/crates/lavenderseam_passthrough/src/agent/delivered.rs
@@ -17,8 +17,9 @@
     mark: u32,
     /// Balancer that forwarded the packet.
     pub(crate) balancer: SocketAddrV4,
-    /// Header that the packet was forwarded with.
-    pub(crate) header: ForwardHeader,
+    /// Header that the packet was forwarded with; `None` if it is a copy to verify its flow, which
+    /// the balancer doesn't need back.
+    pub(crate) header: Option<ForwardHeader>,
 }
 
 /// The most recent delivered packets.
@@ -30,12 +31,12 @@
 
 impl DeliveredPackets {
     /// Records a packet and returns its mark, which is never 0.
-    pub(crate) fn insert(&mut self, balancer: SocketAddrV4, header: &ForwardHeader) -> u32 {
+    pub(crate) fn insert(&mut self, balancer: SocketAddrV4, header: Option<&ForwardHeader>) -> u32 {
         self.last_mark = self.last_mark.checked_add(1).unwrap_or(1);
         let packet = DeliveredPacket {
             mark: self.last_mark,
             balancer,
-            header: header.clone(),
+            header: header.cloned(),
         };
         let slot = self.last_mark as usize % RING_CAPACITY;
         if self.ring.len() <= slot {
--- a/crates/lavenderseam_passthrough/src/agent/mod.rs
+++ b/crates/lavenderseam_passthrough/src/agent/mod.rs
@@ -16,6 +16,7 @@
 mod delivered;
 mod flows;
 mod liveness;
+mod location;
 mod penalties;
 mod response_time;
 mod settings;
@@ -27,8 +28,8 @@
 
 use crate::flow::{Flow, FlowMap};
 use crate::message::{
-    Announcement, FlowConfirmation, ForwardHeader, Hello, Load, Reason, ReturnHeader, ServiceId,
-    TargetState,
+    Announcement, FlowConfirmation, FlowDenial, ForwardHeader, Hello, Load, Reason, ReturnHeader,
+    ServiceId, TargetState,
 };
 use crate::segment::Segment;
 use admission::Admission;
@@ -40,6 +41,8 @@
 pub use flows::RequestOutcome;
 use flows::{FlowState, FlowTracker};
 use liveness::BackendLiveness;
+use location::UnconfirmedFlows;
+pub use location::Verification;
 use penalties::FailurePenalties;
 use response_time::ResponseTime;
 pub use settings::Settings;
@@ -78,6 +81,9 @@
     SendToCaller {
         /// Outcome of the pending request, if the packet ends it.
         outcome: Option<RequestOutcome>,
+        /// Confirmation to send to a balancer, if the packet shows that the backend server holds a
+        /// flow that the balancer asked about.
+        confirmation: Option<(SocketAddrV4, FlowConfirmation)>,
     },
     /// Return the bounced packet to the balancer that forwarded it.
     Return {
@@ -86,6 +92,13 @@
         /// Header to return the packet with.
         returned: ReturnHeader,
     },
+    /// Report to the balancer that the backend server doesn't hold the flow of the bounced packet.
+    Deny {
+        /// Balancer that sent the packet.
+        balancer: SocketAddrV4,
+        /// Report to send.
+        denial: FlowDenial,
+    },
     /// Drop the bounced packet, because its balancer is no longer known or no target needs it; if
     /// it is needed, the caller retransmits it.
     Drop,
@@ -118,6 +131,7 @@
     flows: FlowTracker,
     ended_flows: FlowMap<Instant>,
     delivered: DeliveredPackets,
+    unconfirmed: UnconfirmedFlows,
     cold_start: ColdStartLimiter,
     balancers: Balancers,
     limits: ServiceLimits,
@@ -159,6 +173,7 @@
             flows: FlowTracker::default(),
             ended_flows: FlowMap::default(),
             delivered: DeliveredPackets::default(),
+            unconfirmed: UnconfirmedFlows::default(),
             cold_start: ColdStartLimiter::default(),
             balancers: Balancers::default(),
             limits: ServiceLimits::default(),
@@ -188,12 +203,15 @@
                     flow: segment.flow,
                     load: self.target_load(now),
                 });
-                let mark = self.delivered.insert(balancer, &header);
+                let mark = self.delivered.insert(balancer, Some(&header));
                 Verdict::Deliver { mark, confirmation }
             }
-            Ok(Admission::NewFlow | Admission::Unverified) => {
+            Ok(admission @ (Admission::NewFlow | Admission::Unverified)) => {
                 self.liveness.on_delivery(now);
-                let mark = self.delivered.insert(balancer, &header);
+                if header.wants_confirmation && matches!(admission, Admission::Unverified) {
+                    self.unconfirmed.insert(segment.flow, balancer, now);
+                }
+                let mark = self.delivered.insert(balancer, Some(&header));
                 Verdict::Deliver {
                     mark,
                     confirmation: None,
@@ -234,20 +252,42 @@
                 }
                 None => {}
             }
-            return OutboundVerdict::SendToCaller { outcome: reply };
+            let balancer = self.unconfirmed.take(segment.flow);
+            let confirmation = balancer.map(|balancer| {
+                let flow = segment.flow;
+                let load = self.target_load(now);
+                (balancer, FlowConfirmation { flow, load })
+            });
+            return OutboundVerdict::SendToCaller {
+                outcome: reply,
+                confirmation,
+            };
         };
         self.liveness.on_response();
         let reason = self.on_bounce(segment, now);
         let (Some(reason), Some(packet)) = (reason, self.delivered.take(mark)) else {
             return OutboundVerdict::Drop;
         };
-        let returned = ReturnHeader {
-            reason,
-            load: self.target_load(now),
-            header: packet.header,
-        };
+        let load = self.target_load(now);
         let balancer = packet.balancer;
-        OutboundVerdict::Return { balancer, returned }
+        match packet.header {
+            Some(header) => OutboundVerdict::Return {
+                balancer,
+                returned: ReturnHeader {
+                    reason,
+                    load,
+                    header,
+                },
+            },
+            None => OutboundVerdict::Deny {
+                balancer,
+                denial: FlowDenial {
+                    flow: segment.flow,
+                    has_ended: reason == Reason::Ended,
+                    load,
+                },
+            },
+        }
     }
 
     /// Handles a packet that the backend server bounced; returns the reason to return it to its
@@ -362,6 +402,7 @@
         let retention = self.settings.ended_flow_retention;
         self.ended_flows
             .retain(|_, since| now.since(*since) < retention);
+        self.unconfirmed.expire(now);
         let mut actions = Vec::new();
         if self.balancers.needs_lookup(&self.settings, now) {
             actions.push(Action::LookUpBalancers);
--- a/crates/lavenderseam_passthrough/src/balancer/mod.rs
+++ b/crates/lavenderseam_passthrough/src/balancer/mod.rs
@@ -2,8 +2,8 @@
 //!
 //! 1. A packet of a known flow goes to the target that the flow was sent to before.
 //! 2. A SYN goes to the target with the lowest fraction of its slots in use.
-//! 3. A packet of an unknown flow is sent to one target after another, because only the agents know
-//!    which of them holds the flow.
+//! 3. A packet of an unknown flow is sent to a few targets, one after another; if none of them holds
+//!    the flow, the balancer keeps the packet and asks all agents, because only they know.
 //!
 //! An agent that can't accept a packet returns it, and the balancer tries the next target. A caller
 //! is reset only if the failure is certain: every target has rejected the SYN, or the backend
@@ -11,6 +11,7 @@
 //! retransmission.
 
 mod cache;
+mod location;
 mod opening;
 mod out_of_service;
 mod peers;
@@ -34,7 +35,9 @@
     Reason, RecordVersions, ReturnHeader, ServiceId, TargetId, TargetSnapshot,
 };
 use crate::segment::Segment;
-use cache::{CacheEntry, FlowCache, OwnerState};
+use cache::FlowCache;
+use location::Searches;
+pub use location::{Resolution, SearchAction};
 use out_of_service::OutOfService;
 use peers::Peers;
 use routes::Routes;
@@ -106,6 +109,7 @@
     out_of_service: OutOfService,
     targets: Targets,
     cache: FlowCache,
+    searches: Searches,
     peers: Peers,
     last_gossip: Instant,
     /// Time of the first tick, or of the first tick after the process was suspended.
@@ -132,6 +136,7 @@
             out_of_service: OutOfService::default(),
             targets: Targets::default(),
             cache: FlowCache::new(settings.flow_retention, settings.flow_cache_capacity),
+            searches: Searches::default(),
             peers: Peers::default(),
             last_gossip: Instant::default(),
             running_since: None,
@@ -180,10 +185,10 @@
             Reason::Busy => attempted.busy.push(target_id),
             _ => attempted.refused.push(target_id),
         }
-        if attempted.len() >= MAX_ATTEMPTED_TARGETS {
-            return Verdict::Drop(DiscardReason::HopLimit);
-        }
         if segment.is_syn() {
+            if attempted.len() >= MAX_ATTEMPTED_TARGETS {
+                return Verdict::Drop(DiscardReason::HopLimit);
+            }
             self.place(segment, attempted, now)
         } else {
             self.try_next_target(segment, &attempted, now)
@@ -196,17 +201,17 @@
         confirmation: &FlowConfirmation,
         agent: SocketAddrV4,
         now: Instant,
-    ) {
+    ) -> Vec<SearchAction> {
         let target_id = TargetId::new(agent);
         if let Some(target) = self.targets.get_mut(target_id) {
             target.on_load_report(confirmation.load, now);
         }
-        let entry = CacheEntry {
-            target: target_id,
-            state: OwnerState::Confirmed,
-            first_sent: now,
-        };
-        self.cache.insert(confirmation.flow, entry, now);
+        let flow = confirmation.flow;
+        let is_held = self.searches.holds(flow);
+        self.confirm_owner(flow, target_id, now);
+        let resolution = Resolution::Resume;
+        let resolve = is_held.then_some(SearchAction::Resolve { flow, resolution });
+        resolve.into_iter().collect()
     }
 
     /// Handles an announcement of an agent.
@@ -361,6 +366,12 @@
             .count_by_availability(service, &self.settings, is_out_of_service, now)
     }
 
+    /// Returns the number of flows whose owner is being searched for.
+    #[must_use]
+    pub fn searched_flows(&self) -> usize {
+        self.searches.len()
+    }
+
     /// Returns the number of cached flows.
     #[must_use]
     pub fn cached_flows(&self) -> usize {
--- a/crates/lavenderseam_passthrough/src/balancer/routes.rs
+++ b/crates/lavenderseam_passthrough/src/balancer/routes.rs
@@ -28,8 +28,15 @@
         route.select_service(flow).map(ServiceId::new)
     }
 
-    /// Returns the services that may hold a flow, beginning with the one that a new flow would be
-    /// assigned to.
+    /// Returns `true` if a route leads to the virtual address of a flow.
+    pub(crate) fn contains(&self, flow: Flow) -> bool {
+        self.by_address.contains_key(&flow.service)
+    }
+
+    /// Returns the services that most likely hold a flow, beginning with the one that a new flow
+    /// would be assigned to.
+    ///
+    /// A flow that was opened under an earlier desired state may belong to another service.
     pub(crate) fn candidate_services(&self, flow: Flow) -> Vec<ServiceId> {
         let Some(route) = self.by_address.get(&flow.service) else {
             return Vec::new();
--- a/crates/lavenderseam_passthrough/src/balancer/search.rs
+++ b/crates/lavenderseam_passthrough/src/balancer/search.rs
@@ -1,12 +1,12 @@
-//! Forwarding of packets of open flows, and the search for the owner of an unknown flow.
+//! Forwarding of packets of open flows, and visits of the targets that may hold an unknown flow.
 
 use lavenderseam_core::time::Instant;
 
 use super::cache::{CacheEntry, OwnerState};
-use super::target::Target;
 use super::targets::FlowRequest;
 use super::{Balancer, DiscardReason, Verdict};
-use crate::message::{AttemptedTargets, TargetId, TargetState};
+use crate::flow::Flow;
+use crate::message::{AttemptedTargets, TargetId};
 use crate::segment::Segment;
 
 impl Balancer {
@@ -48,104 +48,110 @@
     }
 
     /// Sends a packet to the next target that may hold its flow, or resets the connection if
-    /// certainly no target holds it. Drops the packet if neither is possible.
+    /// certainly no target holds it.
+    ///
+    /// A few likely targets get the packet itself. If none of them holds the flow, the packet is
+    /// held while all agents are asked.
     pub(super) fn try_next_target(
         &mut self,
         segment: &Segment,
         attempted: &AttemptedTargets,
         now: Instant,
     ) -> Verdict {
+        let flow = segment.flow;
         // Another packet of the flow may have found the owner in the meantime.
-        if let Some(entry) = self.cache.get(segment.flow)
+        if let Some(entry) = self.cache.get(flow)
             && !attempted.contains(entry.target)
             && let Some(service) = self.targets.get(entry.target).map(|target| target.service)
             && let Some(verdict) = self.forward(entry.target, service, attempted.clone(), true)
         {
             return verdict;
         }
-        if let Some(verdict) = self.try_candidate(segment, attempted, now) {
-            return verdict;
+        if self.searches.holds(flow) {
+            self.searches.on_packet(segment);
+            return Verdict::Hold;
+        }
+        if self.searches.contains(flow) {
+            return self.visit_next(segment, attempted, now);
         }
-        // Once all other targets have denied the flow, targets that were unresponsive before are
-        // tried again.
-        if let Some(attempted) = self.without_responsive(attempted, now)
-            && let Some(verdict) = self.try_candidate(segment, &attempted, now)
+        if attempted.len() < self.settings.max_search_visits
+            && let Some(target) = self.next_candidate(flow, attempted, now)
         {
-            return verdict;
+            return self.visit(segment, target, attempted, now);
         }
-        self.cache.remove(segment.flow);
-        if self.is_certainly_unowned(segment, attempted, now) {
-            return Verdict::Reset(DiscardReason::Unowned);
+        self.cache.remove(flow);
+        if !self.routes.contains(flow) {
+            return Verdict::Drop(DiscardReason::Unowned);
+        }
+        let gather_time = self.settings.query_gather_time;
+        let max_searches = self.settings.max_searches;
+        if self.searches.start(segment, max_searches, gather_time, now) {
+            Verdict::Hold
+        } else {
+            Verdict::Drop(DiscardReason::SearchLimit)
         }
-        Verdict::Drop(DiscardReason::Unowned)
     }
 
-    /// Sends a packet to the next target that may hold its flow.
-    fn try_candidate(
+    /// Sends a packet to the next target that a location query has left undecided, or ends the
+    /// search.
+    fn visit_next(
         &mut self,
         segment: &Segment,
         attempted: &AttemptedTargets,
         now: Instant,
-    ) -> Option<Verdict> {
-        let candidates = self.routes.candidate_services(segment.flow);
-        let next = candidates.into_iter().find_map(|service| {
-            let request = FlowRequest {
-                flow: segment.flow,
-                service,
-                attempted,
-                domain: &self.identity.domain,
-            };
-            let target = self.targets.next_candidate(&request, &self.settings, now)?;
-            Some((service, target))
-        });
-        let (service, target) = next?;
+    ) -> Verdict {
+        let flow = segment.flow;
+        let is_unresponsive = !attempted.unresponsive.is_empty();
+        while let Some(target) = self.next_visit(flow, is_unresponsive) {
+            if self.targets.get(target).is_some() {
+                return self.visit(segment, target, attempted, now);
+            }
+        }
+        self.cache.remove(flow);
+        if self.end_visits(flow, now) && !segment.flags.rst {
+            Verdict::Reset(DiscardReason::Unowned)
+        } else {
+            Verdict::Drop(DiscardReason::Unowned)
+        }
+    }
+
+    /// Sends a packet to a target that may hold its flow.
+    fn visit(
+        &mut self,
+        segment: &Segment,
+        target: TargetId,
+        attempted: &AttemptedTargets,
+        now: Instant,
+    ) -> Verdict {
         let entry = CacheEntry {
             target,
             state: OwnerState::Searching,
             first_sent: now,
         };
         self.cache.insert(segment.flow, entry, now);
-        self.forward(target, service, attempted.clone(), true)
-    }
-
-    /// Returns the attempted targets without those that have become responsive again, or `None` if
-    /// there are none.
-    fn without_responsive(
-        &self,
-        attempted: &AttemptedTargets,
-        now: Instant,
-    ) -> Option<AttemptedTargets> {
-        let responsive = |target: &TargetId| {
-            let target = self.targets.get(*target);
-            target.is_some_and(|target| !target.is_suspect(&self.settings, now))
-        };
-        let mut remaining = attempted.clone();
-        remaining.unresponsive.retain(|target| !responsive(target));
-        (remaining.unresponsive.len() < attempted.unresponsive.len()).then_some(remaining)
+        let service = self.targets.get(target).map(|target| target.service);
+        service
+            .and_then(|service| self.forward(target, service, attempted.clone(), true))
+            .unwrap_or(Verdict::Drop(DiscardReason::NoTarget))
     }
 
-    /// Returns `true` if certainly no target holds the flow: every target has denied it, and no
-    /// target can be unknown to this balancer.
-    fn is_certainly_unowned(
+    /// Returns the most likely responsive target that may hold a flow.
+    fn next_candidate(
         &self,
-        segment: &Segment,
+        flow: Flow,
         attempted: &AttemptedTargets,
         now: Instant,
-    ) -> bool {
-        let candidates = self.routes.candidate_services(segment.flow);
-        let denies = |target: &Target| {
-            let suspect = target.is_suspect(&self.settings, now);
-            let denied = attempted.refused.contains(&target.id) && !suspect;
-            denied || (suspect && target.state == TargetState::Ended)
-        };
-        let mut targets = self
-            .targets
-            .iter()
-            .filter(|target| candidates.contains(&target.service));
-        self.knows_all_targets(now)
-            && !segment.flags.rst
-            && !candidates.is_empty()
-            && targets.all(denies)
+    ) -> Option<TargetId> {
+        let services = self.routes.candidate_services(flow);
+        services.into_iter().find_map(|service| {
+            let request = FlowRequest {
+                flow,
+                service,
+                attempted,
+                domain: &self.identity.domain,
+            };
+            self.targets.next_candidate(&request, &self.settings, now)
+        })
     }
 
     /// Returns `true` if targets may still announce themselves for the first time.
@@ -158,15 +164,16 @@
     }
 
     /// Returns `true` if the balancer knows every target: the process has run for some time, and
-    /// another balancer has since reported that it knows the same targets.
-    fn knows_all_targets(&self, now: Instant) -> bool {
+    /// another balancer has recently reported that it knows the same targets.
+    pub(super) fn knows_all_targets(&self, now: Instant) -> bool {
         let Some(running_since) = self.running_since else {
             return false;
         };
         let agreed = self
             .peers
             .last_agreement()
-            .is_some_and(|agreed_at| agreed_at >= running_since);
+            .filter(|agreed_at| *agreed_at >= running_since)
+            .is_some_and(|agreed_at| now.since(agreed_at) < self.settings.agreement_lifetime);
         let uptime = now.since(running_since);
         (agreed && uptime >= self.settings.min_uptime)
             || (self.peers.is_empty() && uptime >= self.settings.min_uptime_alone)
--- a/crates/lavenderseam_passthrough/src/balancer/settings.rs
+++ b/crates/lavenderseam_passthrough/src/balancer/settings.rs
@@ -56,9 +56,35 @@
     /// Time for which a target that refused to queue a flow is skipped: long enough that an
     /// overload costs few messages, and short compared to a caller's timeout.
     pub rejection_hold: Duration,
+    /// Number of likely targets that a packet of an unknown flow is sent to before all agents are
+    /// asked: enough for a lightly loaded service, whose flows are at the first targets in
+    /// rendezvous order.
+    pub max_search_visits: usize,
+    /// Time for which flows are gathered for a location query if none was sent recently.
+    pub query_gather_time: Duration,
+    /// Minimum time between location queries for each target asked, which bounds the messages that
+    /// searches cost.
+    pub query_interval_per_target: Duration,
+    /// Minimum time between verifications of flows for each target that gets a copy of the packet.
+    pub verification_interval_per_target: Duration,
+    /// Time that a flow waits for its verification before all agents are asked again.
+    pub max_verification_wait: Duration,
+    /// Time after which a location query or verification is repeated to the targets that haven't answered.
+    pub query_retry_interval: Duration,
+    /// Number of times that a location query or verification is sent to a target that doesn't
+    /// answer.
+    pub max_query_transmissions: u32,
+    /// Time for which packets of a flow that all known targets have denied are kept while the
+    /// balancer may not know all targets: callers give up most requests within it.
+    pub uncertain_timeout: Duration,
+    /// Maximum number of flows whose owner is searched for at once.
+    pub max_searches: usize,
     /// Minimum uptime of a balancer before it may conclude that no target holds a flow; agents that
     /// it doesn't know yet announce themselves within this time.
     pub min_uptime: Duration,
+    /// Time for which the agreement of another balancer about the known targets counts: several
+    /// rounds of gossip.
+    pub agreement_lifetime: Duration,
     /// Minimum uptime for the same conclusion if the balancer knows no other balancer to compare
     /// its targets with.
     pub min_uptime_alone: Duration,
@@ -91,7 +117,17 @@
             max_attempts: 3,
             no_free_slot_hold: Duration::from_millis(20),
             rejection_hold: Duration::from_millis(50),
+            max_search_visits: 4,
+            query_gather_time: Duration::from_millis(2),
+            query_interval_per_target: Duration::from_millis(1),
+            verification_interval_per_target: Duration::from_micros(250),
+            max_verification_wait: Duration::from_millis(200),
+            query_retry_interval: Duration::from_millis(60),
+            max_query_transmissions: 4,
+            uncertain_timeout: Duration::from_secs(2),
+            max_searches: 1 << 12,
             min_uptime: Duration::from_millis(1_200),
+            agreement_lifetime: Duration::from_secs(3),
             min_uptime_alone: Duration::from_secs(3),
             max_queue_delay: Duration::from_millis(100),
             unreported_lifetime: Duration::from_millis(60),
--- a/crates/lavenderseam_passthrough/src/balancer/targets.rs
+++ b/crates/lavenderseam_passthrough/src/balancer/targets.rs
@@ -253,8 +253,8 @@
         counts
     }
 
-    /// Returns the next target that may hold a flow: responsive targets first, then those in the
-    /// local failure domain, then by rendezvous ranking.
+    /// Returns the responsive target that most likely holds a flow: those in the local failure
+    /// domain first, then by rendezvous ranking.
     pub(crate) fn next_candidate(
         &self,
         request: &FlowRequest<'_>,
@@ -264,10 +264,11 @@
         self.iter()
             .filter(|target| target.service == request.service)
             .filter(|target| !request.attempted.contains(target.id))
+            .filter(|target| !target.is_suspect(settings, now))
             .max_by_key(|target| {
                 let local = target.domain == request.domain;
                 let rank = score(request.flow.rendezvous_key(), u64::from(target.id.0));
-                (!target.is_suspect(settings, now), local, rank)
+                (local, rank)
             })
             .map(|target| target.id)
     }
--- a/crates/lavenderseam_passthrough/src/balancer/verdict.rs
+++ b/crates/lavenderseam_passthrough/src/balancer/verdict.rs
@@ -17,6 +17,8 @@
         /// Header to forward the packet with.
         header: ForwardHeader,
     },
+    /// Keep the packet until the search for the owner of its flow ends.
+    Hold,
     /// Reset the flow at the caller.
     Reset(DiscardReason),
     /// Drop the packet.
@@ -47,6 +49,8 @@
     Unowned,
     /// The packet has been sent to the maximum number of targets.
     HopLimit,
+    /// Too many flows with unknown owners are being searched for.
+    SearchLimit,
     /// Callers don't send packets with these flags.
     Unexpected,
 }
@@ -66,6 +70,7 @@
             Self::Ended => "ended",
             Self::Unowned => "unowned",
             Self::HopLimit => "hop_limit",
+            Self::SearchLimit => "search_limit",
             Self::Unexpected => "unexpected",
         }
     }
--- a/crates/lavenderseam_passthrough/src/message.rs
+++ b/crates/lavenderseam_passthrough/src/message.rs
@@ -13,6 +13,8 @@
 
 /// Maximum number of targets that the balancer sends a packet to before it drops the packet.
 pub const MAX_ATTEMPTED_TARGETS: usize = 96;
+/// Maximum number of flows that one location query asks about.
+pub const MAX_PROBES_PER_QUERY: usize = 32;
 
 /// Identifies a target by a hash of its agent's address.
 #[derive(
@@ -104,6 +106,51 @@
     pub load: Load,
 }
 
+/// Asks an agent which of several flows its target holds.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LocationQuery {
+    /// Number that the reply repeats.
+    pub number: u32,
+    /// Flows in question, at most [`MAX_PROBES_PER_QUERY`].
+    pub probes: Vec<FlowProbe>,
+}
+
+/// A flow whose owner is unknown.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FlowProbe {
+    /// Flow in question.
+    pub flow: Flow,
+    /// Acknowledgment number of the caller's most recent packet, which tells apart two targets that
+    /// both hold the flow half open; `None` if the packet acknowledges nothing.
+    pub acknowledgment: Option<u32>,
+}
+
+/// Answer of an agent to a location query. The target holds none of the flows that aren't listed.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LocationReply {
+    /// Number of the query.
+    pub number: u32,
+    /// Current load of the target.
+    pub load: Load,
+    /// Indices of the flows that the target holds.
+    pub held: Vec<u8>,
+    /// Indices of the flows whose backend server has terminated.
+    pub ended: Vec<u8>,
+    /// Indices of the flows that the agent doesn't know, but that its backend server may hold.
+    pub unverified: Vec<u8>,
+}
+
+/// Reports that a target doesn't hold a flow, as an answer to a packet for its verification.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FlowDenial {
+    /// Flow that the target doesn't hold.
+    pub flow: Flow,
+    /// `true` if the backend server held the flow and has terminated.
+    pub has_ended: bool,
+    /// Current load of the target.
+    pub load: Load,
+}
+
 /// Load of one target.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Load {
@@ -246,6 +293,15 @@
     Hello(Hello),
     /// Announces the versions of a balancer's records to another balancer.
     Gossip(RecordVersions),
+    /// Asks an agent which flows its target holds.
+    LocationQuery(LocationQuery),
+    /// Answers a location query.
+    LocationReply(LocationReply),
+    /// Sends an agent a copy of a packet whose flow the agent doesn't know but its backend server
+    /// may hold; the agent answers with [`Message::FlowHeld`] or [`Message::FlowDenied`].
+    Verify,
+    /// Reports to a balancer that a target doesn't hold a flow.
+    FlowDenied(FlowDenial),
 }
 
 /// Error for a datagram that can't be encoded or decoded as a message.
--- a/crates/lavenderseam_passthrough/tests/agent.rs
+++ b/crates/lavenderseam_passthrough/tests/agent.rs
@@ -28,7 +28,10 @@
     let reply = Some(RequestOutcome::Answered(Duration::from_millis(300)));
     expect_that!(
         answered,
-        eq(&OutboundVerdict::SendToCaller { outcome: reply })
+        eq(&OutboundVerdict::SendToCaller {
+            outcome: reply,
+            confirmation: None
+        })
     );
     expect_that!(agent.target_load(at_ms(300)).busy_slots, eq(0));
     // This retransmission was in flight when the response arrived.
@@ -214,14 +217,20 @@
     let reordered = agent.on_backend_packet(&fin, None, at_ms(20));
     expect_that!(
         reordered,
-        eq(&OutboundVerdict::SendToCaller { outcome: None })
+        eq(&OutboundVerdict::SendToCaller {
+            outcome: None,
+            confirmation: None
+        })
     );
     expect_that!(agent.target_load(at_ms(20)).busy_slots, eq(1));
     let answered = agent.on_backend_packet(&response(1), None, at_ms(20));
     let reply = Some(RequestOutcome::Answered(Duration::from_millis(20)));
     expect_that!(
         answered,
-        eq(&OutboundVerdict::SendToCaller { outcome: reply })
+        eq(&OutboundVerdict::SendToCaller {
+            outcome: reply,
+            confirmation: None
+        })
     );
 }
 
@@ -241,7 +250,10 @@
     let reply = Some(RequestOutcome::Aborted(Duration::from_millis(5)));
     expect_that!(
         aborted,
-        eq(&OutboundVerdict::SendToCaller { outcome: reply })
+        eq(&OutboundVerdict::SendToCaller {
+            outcome: reply,
+            confirmation: None
+        })
     );
     expect_that!(agent.target_load(at_ms(100)).busy_slots, eq(1));
     expect_that!(agent.target_load(at_ms(300)).busy_slots, eq(0));
--- a/crates/lavenderseam_passthrough/tests/conformance.rs
+++ b/crates/lavenderseam_passthrough/tests/conformance.rs
@@ -8,9 +8,14 @@
 
 use lavenderseam_core::rank::score;
 use lavenderseam_core::time::Instant;
-use lavenderseam_passthrough::agent::{Agent, Heartbeat, Identity, OutboundVerdict, Verdict};
+use lavenderseam_passthrough::agent::{
+    Agent, Heartbeat, Identity, OutboundVerdict, Verdict, Verification,
+};
 use lavenderseam_passthrough::flow::Flow;
-use lavenderseam_passthrough::message::{AttemptedTargets, ForwardHeader, Reason, ServiceId};
+use lavenderseam_passthrough::message::{
+    AttemptedTargets, FlowDenial, FlowProbe, ForwardHeader, LocationQuery, LocationReply, Reason,
+    ServiceId,
+};
 use lavenderseam_passthrough::segment::{Flags, Segment};
 
 const SERVICE: &str = "edits";
@@ -70,6 +75,8 @@
     SendSyn(usize),
     SendData(usize),
     Deliver(usize),
+    /// Delivers a copy for verification.
+    Verify(usize),
     Drop(usize),
     ReceiveSynAck,
     RestartAgent(usize),
@@ -142,6 +149,9 @@
         }
         for packet in 0..self.packets.len() {
             steps.push(Step::Deliver(packet));
+            if !self.packets[packet].segment.is_syn() {
+                steps.push(Step::Verify(packet));
+            }
             steps.push(Step::Drop(packet));
         }
         if !self.syn_acks.is_empty() {
@@ -173,6 +183,10 @@
                 let packet = self.packets.remove(packet);
                 self.deliver(packet);
             }
+            Step::Verify(packet) => {
+                let packet = self.packets.remove(packet);
+                self.verify(packet);
+            }
             Step::Drop(packet) => {
                 self.packets.remove(packet);
             }
@@ -230,6 +244,51 @@
         self.backends.iter().any(open)
     }
 
+    /// Delivers a packet as a copy for verification.
+    fn verify(&mut self, packet: PacketInFlight) {
+        let index = packet.agent;
+        match self.agents[index].on_verification(&packet.segment, BALANCER, NOW) {
+            Verification::Held { mark, .. } | Verification::Deliver { mark } => {
+                self.deliver_to_backend(packet, mark);
+            }
+            Verification::Denied(denial) => self.on_flow_denied(packet, denial),
+        }
+    }
+
+    fn on_flow_denied(&mut self, packet: PacketInFlight, denial: FlowDenial) {
+        let reason = if denial.has_ended {
+            Reason::Ended
+        } else {
+            Reason::NotHeld
+        };
+        self.on_denied(packet, reason);
+    }
+
+    /// Asks an agent about the flow of a packet in flight to it.
+    fn location_reply(&mut self, packet: &PacketInFlight) -> LocationReply {
+        let probe = FlowProbe {
+            flow: packet.segment.flow,
+            acknowledgment: Some(packet.segment.acknowledgment),
+        };
+        let query = LocationQuery {
+            number: 1,
+            probes: vec![probe],
+        };
+        self.agents[packet.agent].on_location_query(&query, BALANCER, NOW)
+    }
+
+    /// Checks that an agent has answered a location query as it answers a packet of the flow.
+    fn check_location_reply(reply: &LocationReply, verdict: &Verdict) {
+        let reason = match verdict {
+            Verdict::Return(returned) => Some(returned.reason),
+            _ => None,
+        };
+        let is_delivered = matches!(verdict, Verdict::Deliver { .. });
+        assert_eq!(!reply.ended.is_empty(), reason == Some(Reason::Ended));
+        let may_be_held = !reply.held.is_empty() || !reply.unverified.is_empty();
+        assert_eq!(may_be_held, is_delivered, "{reply:?} for {verdict:?}");
+    }
+
     fn deliver(&mut self, packet: PacketInFlight) {
         let header = ForwardHeader {
             service: ServiceId::new(SERVICE),
@@ -237,7 +296,13 @@
             attempted: AttemptedTargets::default(),
         };
         let index = packet.agent;
-        match self.agents[index].on_forwarded_packet(&packet.segment, header, BALANCER, NOW) {
+        let reply = self.location_reply(&packet);
+        let agent = &mut self.agents[index];
+        let verdict = agent.on_forwarded_packet(&packet.segment, header, BALANCER, NOW);
+        if !packet.segment.is_syn() {
+            Self::check_location_reply(&reply, &verdict);
+        }
+        match verdict {
             Verdict::Deliver { mark, .. } => self.deliver_to_backend(packet, mark),
             Verdict::Return(returned) => self.on_denied(packet, returned.reason),
             Verdict::Drop => {}
@@ -280,6 +345,7 @@
                     OutboundVerdict::Return { returned, .. } => {
                         self.on_denied(packet, returned.reason);
                     }
+                    OutboundVerdict::Deny { denial, .. } => self.on_flow_denied(packet, denial),
                     OutboundVerdict::Drop => {}
                     OutboundVerdict::SendToCaller { .. } => {
                         panic!("bounced packet was sent to the caller")
--- /dev/null
+++ b/crates/lavenderseam_passthrough/tests/location.rs
@@ -0,0 +1,175 @@
+//! Location queries: answers of agents, and the cost of a search in services of different sizes.
+
+#![expect(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
+
+mod fixture;
+mod simulation;
+
+use std::time::Duration;
+
+use fixture::{
+    BACKEND_ISN, BALANCER, agent, agent_without_heartbeat, at_ms, flow, header, heartbeat,
+    open_with_request, syn, syn_ack,
+};
+use googletest::prelude::*;
+use lavenderseam_core::time::Instant;
+use lavenderseam_passthrough::message::{FlowProbe, LocationQuery, LocationReply};
+use simulation::{Outcome, Simulation};
+
+const FLOWS: u64 = 100;
+
+fn milliseconds(count: u64) -> Duration {
+    Duration::from_millis(count)
+}
+
+fn query(probes: &[(u16, Option<u32>)]) -> LocationQuery {
+    let probe = |(port, acknowledgment): &(u16, Option<u32>)| FlowProbe {
+        flow: flow(*port),
+        acknowledgment: *acknowledgment,
+    };
+    LocationQuery {
+        number: 7,
+        probes: probes.iter().map(probe).collect(),
+    }
+}
+
+#[gtest]
+fn an_agent_names_the_flows_that_it_holds() {
+    let mut agent = agent();
+    open_with_request(&mut agent, 2, at_ms(0));
+    let query = query(&[(1, Some(1)), (2, Some(BACKEND_ISN + 1))]);
+    let reply = agent.on_location_query(&query, BALANCER, at_ms(5));
+    expect_that!(reply.number, eq(7));
+    expect_that!(reply.held, elements_are![eq(&1)]);
+    expect_that!(reply.ended, is_empty());
+    expect_that!(reply.unverified, is_empty());
+}
+
+/// Two targets may hold a flow half open; the caller's acknowledgment belongs to one of them.
+#[gtest]
+fn a_half_open_flow_is_held_only_by_the_target_that_the_caller_acknowledges() {
+    let mut agent = agent();
+    agent.on_forwarded_packet(&syn(1), header(), BALANCER, at_ms(0));
+    agent.on_backend_packet(&syn_ack(1), None, at_ms(1));
+    let far = BACKEND_ISN.wrapping_add(u32::MAX / 2);
+    for (acknowledgment, is_held) in [
+        (Some(BACKEND_ISN + 1), true),
+        (Some(far), false),
+        (None, false),
+    ] {
+        let query = query(&[(1, acknowledgment)]);
+        let reply = agent.on_location_query(&query, BALANCER, at_ms(5));
+        expect_that!(!reply.held.is_empty(), eq(is_held));
+    }
+}
+
+#[gtest]
+fn an_agent_names_flows_that_ended_with_its_backend_server() {
+    let mut agent = agent();
+    open_with_request(&mut agent, 1, at_ms(0));
+    agent.on_connection_refused(at_ms(10));
+    let reply = agent.on_location_query(&query(&[(1, Some(1)), (2, Some(1))]), BALANCER, at_ms(20));
+    expect_that!(reply.ended, elements_are![eq(&0)]);
+}
+
+/// An agent that restarted beside a running backend server can't deny a flow.
+#[gtest]
+fn a_restarted_agent_denies_no_flow() {
+    let mut agent = agent_without_heartbeat();
+    let unverified = |reply: LocationReply| reply.unverified;
+    let query = query(&[(1, Some(1))]);
+    let reply = agent.on_location_query(&query, BALANCER, at_ms(1));
+    expect_that!(unverified(reply), elements_are![eq(&0)]);
+    agent.on_heartbeat(&heartbeat(40), at_ms(2)).unwrap();
+    let reply = agent.on_location_query(&query, BALANCER, at_ms(3));
+    expect_that!(unverified(reply), elements_are![eq(&0)]);
+}
+
+/// A service with at most half of its slots in use, and a balancer that restarts without its flows.
+fn busy_service(targets: usize) -> Simulation {
+    let nodes = vec!["a"; targets];
+    let slots = (FLOWS as usize * 2).div_ceil(targets).max(2);
+    let mut sim = Simulation::new(&["a", "a"], &nodes, slots);
+    sim.run_for(Duration::from_secs(1));
+    sim.add_load(0, FLOWS, Duration::from_secs(1), milliseconds(2_500));
+    sim.run_for(milliseconds(1_100));
+    sim.start_balancer(0);
+    sim
+}
+
+/// A restarted balancer finds the owners of its flows for a bounded number of messages, however
+/// many targets there are.
+#[gtest]
+fn the_search_for_owners_costs_few_messages_in_large_services() {
+    for targets in [10, 109, 600] {
+        let mut sim = busy_service(targets);
+        let before = sim.search_cost;
+        sim.run_for(Duration::from_secs(3));
+        let messages = sim.search_cost.messages - before.messages;
+        let bytes = sim.search_cost.bytes - before.bytes;
+        println!("{targets} targets, owners found: {messages} messages, {bytes} bytes");
+        expect_that!(sim.answered_fraction(Instant::default()), eq(1.0));
+        expect_that!(sim.resets_of_held_flows, is_empty());
+        // A few visits for each flow, and a few queries to each target.
+        expect_that!(messages, le(FLOWS * 10 + targets as u64 * 2 * 12));
+    }
+}
+
+/// All backend servers and agents restart. The callers of their flows are reset once the agents can
+/// tell, and the searches of a balancer cost a bounded number of messages a second.
+#[gtest]
+fn flows_without_owner_are_reset_quickly_in_large_services() {
+    for targets in [10, 109, 600] {
+        let nodes = vec!["a"; targets];
+        let slots = (FLOWS as usize * 2).div_ceil(targets).max(2);
+        let mut sim = Simulation::new(&["a", "a"], &nodes, slots);
+        sim.add_load(0, FLOWS * 5, milliseconds(200), milliseconds(2_500));
+        sim.run_for(milliseconds(250));
+        for node in 0..targets {
+            sim.target_nodes[node].backend.stop();
+            sim.target_nodes[node].agent = None;
+            sim.start_backend(node, Duration::ZERO);
+            sim.start_agent(node);
+        }
+        // The callers' packets now arrive at a balancer that doesn't know their flows.
+        for caller in &mut sim.callers {
+            caller.balancer = 1;
+        }
+        let before = sim.search_cost;
+        sim.run_for(milliseconds(1_100));
+        let messages = sim.search_cost.messages - before.messages;
+        let bytes = sim.search_cost.bytes - before.bytes;
+        println!("{targets} targets, no owners: {messages} messages, {bytes} bytes");
+        let waiting = sim.callers.iter().filter(|caller| caller.attempts == 1);
+        expect_that!(waiting.count(), eq(0));
+        // Within one second: 8,000 for copies with their answers, 2,000 for queries with their
+        // answers, and the first visits of each packet with their returns.
+        expect_that!(messages, le(10_000 + FLOWS * 3 * 8));
+    }
+}
+
+/// Lost queries and replies delay a search, but never lead to a wrong conclusion.
+#[gtest]
+fn lost_messages_reset_no_held_flow() {
+    let mut sim = busy_service(60);
+    sim.loss_percent = 20;
+    sim.run_for(Duration::from_secs(4));
+    expect_that!(sim.resets_of_held_flows, is_empty());
+    let answered = |caller: &&simulation::Caller| caller.outcome == Outcome::Answered;
+    expect_that!(sim.callers.iter().filter(answered).count(), ge(95));
+}
+
+/// A balancer that can't reach one target concludes nothing about flows that this target may hold,
+/// and still finds the flows of the others.
+#[gtest]
+fn an_unreachable_target_prevents_resets_only() {
+    let mut sim = busy_service(30);
+    let cut = (sim.balancer_nodes[0].address, sim.target_nodes[0].address);
+    sim.cuts.insert(cut);
+    let held_there = sim.target_nodes[0].backend.flows() as u64;
+    sim.run_for(Duration::from_secs(4));
+    expect_that!(sim.resets_of_held_flows, is_empty());
+    let answered = |caller: &&simulation::Caller| caller.outcome == Outcome::Answered;
+    let count = sim.callers.iter().filter(answered).count() as u64;
+    expect_that!(count, ge(FLOWS - held_there));
+}
--- a/crates/lavenderseam_passthrough/tests/simulation/backend.rs
+++ b/crates/lavenderseam_passthrough/tests/simulation/backend.rs
@@ -28,6 +28,7 @@
 /// Simulated backend server.
 #[derive(Debug)]
 pub struct Backend {
+    pub service: String,
     slots: usize,
     seed: u32,
     /// Number of the current run; 0 while the backend server is stopped.
@@ -55,6 +56,7 @@
 impl Backend {
     pub fn new(slots: usize, seed: u32) -> Self {
         let mut backend = Self {
+            service: SERVICE.to_owned(),
             slots,
             seed,
             run: 0,
@@ -109,7 +111,7 @@
             id: format!("backend-{}-{}", self.seed, self.run),
             started_at_ms: Some(self.started_at),
             sequence: self.heartbeats,
-            service: SERVICE.to_owned(),
+            service: self.service.clone(),
             draining: self.draining,
             slots: self.slots as u16,
             cold_remaining: Duration::from_micros(self.warm_at_us.saturating_sub(now_us)),
--- a/crates/lavenderseam_passthrough/tests/simulation/mod.rs
+++ b/crates/lavenderseam_passthrough/tests/simulation/mod.rs
@@ -62,6 +62,7 @@
     ToCaller(Segment),
     Reset(Flow),
     Timer(usize, u64),
+    PollSearches(usize),
     Call(usize),
 }
 
@@ -70,6 +71,7 @@
     pub agent: Option<Agent>,
     pub backend: Backend,
     pub domain: String,
+    pub service: String,
     pub address: SocketAddrV4,
     runs: u64,
 }
@@ -79,6 +81,8 @@
     pub balancer: Option<Balancer>,
     pub domain: String,
     pub address: SocketAddrV4,
+    /// Packets that the balancer keeps while it searches for the owners of their flows.
+    held_packets: BTreeMap<Flow, Vec<Segment>>,
     /// Messages that the balancer has received.
     pub messages: u64,
     /// Time that the balancer needs for each packet or message, in microseconds.
@@ -89,6 +93,13 @@
     busy_since_us: u64,
 }
 
+/// Messages, with the packets that they carry, and their bytes.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct SearchCost {
+    pub messages: u64,
+    pub bytes: u64,
+}
+
 type Callback = Box<dyn FnOnce(&mut Simulation)>;
 
 /// State of the simulation.
@@ -109,6 +120,12 @@
     pub one_way_cuts: BTreeSet<(SocketAddrV4, SocketAddrV4)>,
     /// Packets that agents have returned to balancers.
     pub returned: u64,
+    /// Location queries that balancers have sent.
+    pub queries: u64,
+    /// Messages that the search for the owners of open flows has cost, and their bytes.
+    pub search_cost: SearchCost,
+    /// Percentage of messages between processes that are lost.
+    pub loss_percent: u64,
     /// Flows that were reset although a running backend server held them open.
     pub resets_of_held_flows: Vec<Flow>,
     /// Resets that balancers have sent.
@@ -136,6 +153,9 @@
             cuts: BTreeSet::new(),
             one_way_cuts: BTreeSet::new(),
             returned: 0,
+            queries: 0,
+            search_cost: SearchCost::default(),
+            loss_percent: 0,
             resets_of_held_flows: Vec::new(),
             resets: 0,
             rotates_balancers: false,
@@ -146,6 +166,7 @@
                 balancer: None,
                 domain: (*domain).to_owned(),
                 address: process_address(1, index),
+                held_packets: BTreeMap::new(),
                 messages: 0,
                 cost_us: 0,
                 idle_at_us: 0,
@@ -174,12 +195,22 @@
             agent: None,
             backend: Backend::new(slots, index as u32 + 1),
             domain: domain.to_owned(),
+            service: SERVICE.to_owned(),
             address: process_address(2, index),
             runs: 0,
         });
         index
     }
 
+    /// Adds a node of another service, and starts it; returns its index.
+    pub fn add_node_of(&mut self, service: &str, domain: &str, slots: usize) -> usize {
+        let index = self.add_node(domain, slots);
+        self.target_nodes[index].service = service.to_owned();
+        self.target_nodes[index].backend.service = service.to_owned();
+        self.join(index);
+        index
+    }
+
     /// Starts the agent of a node and the heartbeats of its backend server.
     pub fn join(&mut self, index: usize) {
         self.start_agent(index);
@@ -205,6 +236,7 @@
             balancer.add_peer(peer, now);
         }
         self.balancer_nodes[index].balancer = Some(balancer);
+        self.balancer_nodes[index].held_packets.clear();
     }
 
     pub fn start_agent(&mut self, index: usize) {
@@ -217,7 +249,7 @@
         let node = &mut self.target_nodes[index];
         node.runs += 1;
         let mut agent = Agent::new(agent::Identity {
-            service: SERVICE.to_owned(),
+            service: node.service.clone(),
             domain: node.domain.clone(),
             run_id: node.runs,
         });
@@ -386,6 +418,7 @@
             Event::ToCaller(segment) => self.on_caller_segment(&segment),
             Event::Reset(flow) => self.reset_caller(flow),
             Event::Timer(caller, timer) => self.on_timer(caller, timer),
+            Event::PollSearches(index) => self.poll_searches(index),
             Event::Call(index) => {
                 let callback = self.callbacks[index].take().unwrap();
                 callback(self);
@@ -509,7 +542,8 @@
 }
 
 pub fn process_address(kind: u8, index: usize) -> SocketAddrV4 {
-    SocketAddrV4::new(Ipv4Addr::new(10, kind, 0, index as u8 + 1), PROCESS_PORT)
+    let [_, _, high, low] = (index as u32 + 1).to_be_bytes();
+    SocketAddrV4::new(Ipv4Addr::new(10, kind, high, low), PROCESS_PORT)
 }
 
 fn as_micros(span: Duration) -> u64 {
--- a/crates/lavenderseam_passthrough/tests/simulation/network.rs
+++ b/crates/lavenderseam_passthrough/tests/simulation/network.rs
@@ -3,8 +3,9 @@
 
 use std::net::SocketAddrV4;
 
+use lavenderseam_core::rank::score;
 use lavenderseam_passthrough::agent::{self, OutboundVerdict};
-use lavenderseam_passthrough::balancer::Verdict;
+use lavenderseam_passthrough::balancer::{Balancer, SearchAction, Verdict};
 use lavenderseam_passthrough::message::{Message, ReturnHeader};
 use lavenderseam_passthrough::segment::Segment;
 
@@ -12,19 +13,29 @@
     CALLER_LATENCY_US, CROSS_DOMAIN_LATENCY_US, Event, LOCAL_LATENCY_US, Simulation, TargetNode,
 };
 
+/// Seed of the choice of lost messages.
+const LOSS_SEED: u64 = 0x4c4f_5353;
+/// Size of a packet without its payload.
+const PACKET_HEADER_BYTES: u64 = 32;
+
 impl Simulation {
     pub(super) fn packet_to_balancer(&mut self, balancer_node: usize, segment: &Segment) {
         let now = self.instant();
-        let from = self.balancer_nodes[balancer_node].address;
         let Some(balancer) = &mut self.balancer_nodes[balancer_node].balancer else {
             return;
         };
         let verdict = balancer.on_caller_packet(segment, now);
-        self.apply_verdict(from, verdict, segment);
+        self.apply_verdict(balancer_node, verdict, segment);
     }
 
-    fn apply_verdict(&mut self, from: SocketAddrV4, verdict: Verdict, segment: &Segment) {
+    fn apply_verdict(&mut self, balancer_node: usize, verdict: Verdict, segment: &Segment) {
+        let from = self.balancer_nodes[balancer_node].address;
         match verdict {
+            Verdict::Hold => {
+                let held = &mut self.balancer_nodes[balancer_node].held_packets;
+                held.entry(segment.flow).or_default().push(*segment);
+                self.schedule_search(balancer_node);
+            }
             Verdict::Forward { agent, header } => {
                 self.send(from, agent, Message::Forward(header), Some(*segment));
             }
@@ -40,6 +51,52 @@
         }
     }
 
+    /// Advances the searches of a balancer.
+    pub(super) fn poll_searches(&mut self, index: usize) {
+        let now = self.instant();
+        if let Some(balancer) = &mut self.balancer_nodes[index].balancer {
+            let actions = balancer.poll_searches(now);
+            self.apply_search(index, actions);
+        }
+    }
+
+    fn apply_search(&mut self, index: usize, actions: Vec<SearchAction>) {
+        let from = self.balancer_nodes[index].address;
+        for action in actions {
+            match action {
+                SearchAction::Query { agent, query } => {
+                    self.queries += 1;
+                    self.send(from, agent, Message::LocationQuery(query), None);
+                }
+                SearchAction::Verify { flow, agents } => {
+                    let held = &self.balancer_nodes[index].held_packets;
+                    let packet = held.get(&flow).and_then(|packets| packets.last()).copied();
+                    for agent in agents {
+                        self.send(from, agent, Message::Verify, packet);
+                    }
+                }
+                SearchAction::Resolve { flow, resolution } => {
+                    let held = &mut self.balancer_nodes[index].held_packets;
+                    for segment in held.remove(&flow).unwrap_or_default() {
+                        match resolution.verdict(&segment) {
+                            Some(verdict) => self.apply_verdict(index, verdict, &segment),
+                            None => self.packet_to_balancer(index, &segment),
+                        }
+                    }
+                }
+            }
+        }
+        self.schedule_search(index);
+    }
+
+    fn schedule_search(&mut self, index: usize) {
+        let balancer = self.balancer_nodes[index].balancer.as_ref();
+        if let Some(at) = balancer.and_then(Balancer::next_search_at) {
+            let delay_us = at.0.saturating_sub(self.now_us);
+            self.schedule(delay_us, Event::PollSearches(index));
+        }
+    }
+
     pub(super) fn deliver_message(
         &mut self,
         to: SocketAddrV4,
@@ -73,15 +130,31 @@
                 let segment = packet.unwrap();
                 let verdict = balancer.on_returned_packet(&segment, returned, from, now);
                 self.returned += 1;
-                self.apply_verdict(own, verdict, &segment);
+                self.apply_verdict(index, verdict, &segment);
+            }
+            Message::LocationReply(reply) => {
+                let actions = balancer.on_location_reply(&reply, from, now);
+                self.apply_search(index, actions);
+            }
+            Message::FlowHeld(confirmation) => {
+                let actions = balancer.on_flow_held(&confirmation, from, now);
+                self.apply_search(index, actions);
+            }
+            Message::FlowDenied(denial) => {
+                let actions = balancer.on_flow_denied(&denial, from, now);
+                self.apply_search(index, actions);
             }
-            Message::FlowHeld(confirmation) => balancer.on_flow_held(&confirmation, from, now),
             Message::Announcement(announcement) => {
                 let announced = balancer.on_announcement(&announcement, from, now);
                 self.send(own, from, Message::Hello(announced.reply), None);
             }
             Message::Gossip(gossip) => balancer.on_gossip(&gossip, from, now),
-            Message::Forward(_) | Message::Hello(_) => panic!("balancer: unexpected message"),
+            Message::Forward(_)
+            | Message::Hello(_)
+            | Message::LocationQuery(_)
+            | Message::Verify => {
+                panic!("balancer: unexpected message")
+            }
         }
     }
 
@@ -114,6 +187,24 @@
                 }
             }
             Message::Hello(hello) => agent.on_balancer_hello(&hello, from, now),
+            Message::LocationQuery(query) => {
+                let reply = agent.on_location_query(&query, from, now);
+                self.send(own, from, Message::LocationReply(reply), None);
+            }
+            Message::Verify => {
+                let segment = packet.unwrap();
+                let answer = match agent.on_verification(&segment, from, now) {
+                    agent::Verification::Held { mark, confirmation } => {
+                        self.schedule(0, Event::ToBackend(index, segment, mark));
+                        Message::FlowHeld(confirmation)
+                    }
+                    agent::Verification::Deliver { mark } => {
+                        return self.schedule(0, Event::ToBackend(index, segment, mark));
+                    }
+                    agent::Verification::Denied(denial) => Message::FlowDenied(denial),
+                };
+                self.send(own, from, answer, None);
+            }
             _ => panic!("agent: unexpected message"),
         }
     }
@@ -140,7 +231,13 @@
             return;
         };
         match agent.on_backend_packet(segment, bounced, now) {
-            OutboundVerdict::SendToCaller { .. } => {
+            OutboundVerdict::Deny { balancer, denial } => {
+                self.send(own, balancer, Message::FlowDenied(denial), None);
+            }
+            OutboundVerdict::SendToCaller { confirmation, .. } => {
+                if let Some((balancer, confirmation)) = confirmation {
+                    self.send(own, balancer, Message::FlowHeld(confirmation), None);
+                }
                 self.schedule(CALLER_LATENCY_US, Event::ToCaller(*segment));
             }
             OutboundVerdict::Return { balancer, returned } => {
@@ -157,7 +254,11 @@
         message: Message,
         packet: Option<Segment>,
     ) {
-        if self.is_disconnected(from, to) {
+        self.count_search(&message, packet.as_ref());
+        let is_lost = score(self.last_event_id, LOSS_SEED) % 100 < self.loss_percent;
+        if is_lost || self.is_disconnected(from, to) {
+            // Each message needs its own chance to arrive.
+            self.last_event_id += 1;
             return;
         }
         let delay = if self.domain(from) == self.domain(to) {
@@ -174,6 +275,29 @@
         self.schedule(delay, event);
     }
 
+    /// Counts messages that belong to the search for the owner of an open flow.
+    fn count_search(&mut self, message: &Message, packet: Option<&Segment>) {
+        let is_search = match message {
+            Message::LocationQuery(_)
+            | Message::LocationReply(_)
+            | Message::Verify
+            | Message::FlowHeld(_)
+            | Message::FlowDenied(_) => true,
+            Message::Forward(header) => header.wants_confirmation,
+            Message::Return(_) => true,
+            _ => false,
+        };
+        if is_search && packet.is_none_or(|packet| !packet.is_syn()) {
+            let mut buffer = Vec::new();
+            message.encode(&[], &mut buffer).unwrap();
+            let payload = packet.map_or(0, |packet| {
+                PACKET_HEADER_BYTES + u64::from(packet.payload_length)
+            });
+            self.search_cost.messages += 1;
+            self.search_cost.bytes += buffer.len() as u64 + payload;
+        }
+    }
+
     fn domain(&self, address: SocketAddrV4) -> Option<&str> {
         let balancer_node = self
             .balancer_nodes
