Model the search of a balancer that asks the agents, and routes that move

passthrough.pml: one search asks the agents step by step, an agent that can't tell delivers a copy of a packet, and the route may move from one target's service to the other's. Two mutants are rejected: only the route of now (CURRENT_ROUTE), and restarted agents that deny what they don't know (BLIND_ANSWER).

--- a/model/passthrough.pml
+++ b/model/passthrough.pml
@@ -7,11 +7,18 @@
  * target's number. Agents and backend servers may restart, and packets may be lost and delayed. The
  * number of a half-open flow models the sequence number of the backend server's answer.
  *
+ * A balancer may also ask the agents, one step each, whether they hold the caller's flow. An agent that
+ * can't tell gets a copy of a packet, which its backend server rejects if it doesn't hold the flow. The
+ * caller is reset once all agents have denied the flow. The route may move from agent 0's service to
+ * agent 1's, after which openers go to agent 1 only.
+ *
  * Mutants, each of which must be rejected:
  *   MUTANT_NO_NUMBER      an agent accepts any continuing packet for a flow that it holds half open
  *   MUTANT_BLIND_RESTART  a restarted agent denies packets of flows that it doesn't know
  *   MUTANT_FIRST_DENIAL   a balancer resets a flow at the first denial
  *   MUTANT_PARTIAL_VIEW   a balancer resets a flow although it doesn't know all targets
+ *   MUTANT_CURRENT_ROUTE  a balancer asks only the agents of the service that the route names now
+ *   MUTANT_BLIND_ANSWER   a restarted agent denies flows that a balancer asks about
  *   MUTANT_ENDED_HALF     an agent records a half-open flow as ended when its backend server restarts
  */
 
@@ -20,6 +27,7 @@
 #define CONTINUING 3
 #define AGENT_RESTARTS 1
 #define BACKEND_RESTARTS 1
+#define SEARCHES 1
 #define SLOTS 2
 
 #define free 0
@@ -52,6 +60,12 @@
 byte continuing_sent;
 byte agent_restarts;
 byte backend_restarts;
+bool route_moved;
+
+/* Search of a balancer that asks the agents about the caller's flow. */
+byte searches;
+bool searching;
+byte denials;           /* agents that have denied the flow, as a bit set */
 
 hidden byte slot;
 hidden byte agent;
@@ -71,6 +85,14 @@
     fi
 }
 
+inline agent_of_route() {
+    if
+    :: !route_moved -> agent = 0
+    :: !route_moved -> agent = 1   /* both agents may belong to the service */
+    :: route_moved -> agent = 1
+    fi
+}
+
 /* Puts a packet into a free slot; the packet is lost if there is none. */
 inline put(p_kind, p_at, p_number, p_visited) {
     if
@@ -203,15 +225,76 @@
     fi
 }
 
+/* An agent answers whether it holds the caller's flow. */
+inline answer_search() {
+    if
+    :: agent_state[agent] == open -> searching = false
+    :: agent_state[agent] == half ->
+        if
+        :: agent_number[agent] == caller_number -> searching = false
+        :: else -> denials = denials | (1 << agent)
+        fi
+    :: agent_state[agent] == free && ended[agent] ->
+        /* The caller receives a reset. */
+        assert(!HELD);
+        searching = false
+    :: agent_state[agent] == free && !ended[agent] ->
+#ifdef MUTANT_BLIND_ANSWER
+        denials = denials | (1 << agent)
+#else
+        if
+        :: sees_all_flows[agent] -> denials = denials | (1 << agent)
+        :: else ->
+            /* The agent delivers a copy of a packet. */
+            if
+            :: backend_state[agent] != free && backend_number[agent] == caller_number ->
+                backend_state[agent] = open;
+                agent_state[agent] = open;
+                agent_number[agent] = backend_number[agent];
+                searching = false
+            :: else -> denials = denials | (1 << agent)
+            fi
+        fi
+#endif
+    fi;
+#ifdef MUTANT_CURRENT_ROUTE
+    if
+    :: route_moved -> denials = denials | 1
+    :: else
+    fi;
+#endif
+    if
+    :: searching && denials == 3 ->
+        /* The caller receives a reset. */
+        assert(!HELD);
+        searching = false
+    :: else
+    fi
+}
+
 active proctype system() {
 end:
     do
     :: atomic {
         openers_sent < OPENERS && caller_number == 0 ->
             openers_sent++;
-            any_agent();
+            agent_of_route();
             put(opener, agent, 0, 0)
        }
+    :: atomic {
+        !route_moved -> route_moved = true
+       }
+    :: atomic {
+        searches < SEARCHES && !searching && caller_number != 0 ->
+            searches++;
+            searching = true;
+            denials = 0
+       }
+    :: atomic {
+        searching ->
+            any_agent();
+            answer_search()
+       }
     :: atomic {
         continuing_sent < CONTINUING && caller_number != 0 ->
             continuing_sent++;
