Let agents deny flows when no backend server can hold them

Agents that restarted without a backend server, on machines whose backend server had left, could deny nothing either. So no flow was certainly unowned, and callers waited for their time limits.

Change: an early heartbeat shows that none before was acknowledged, because an acknowledged one is followed by the next only after the interval. An agent that has received no heartbeat probes the port of its backend server; a closed port means that it holds no flows. The target is then announced as ended, and sees all flows of a backend server that starts later.

--- a/crates/lavenderseam_node/src/agent/mod.rs
+++ b/crates/lavenderseam_node/src/agent/mod.rs
@@ -8,8 +8,9 @@
 use std::io;
 use std::net::SocketAddrV4;
 use std::rc::Rc;
+use std::time::Duration;
 
-use lavenderseam_passthrough::agent::{Agent, Heartbeat, Identity};
+use lavenderseam_passthrough::agent::{Agent, Heartbeat, Identity, Settings as Limits};
 use rand::TryRng;
 use rand::rngs::SysRng;
 
@@ -46,6 +47,9 @@
     pub metrics_address: SocketAddrV4,
     /// Message addresses of the balancers that the agent contacts first.
     pub seeds: Vec<SocketAddrV4>,
+    /// Time between an acknowledged heartbeat of the backend server and the next one; 0 if it is
+    /// unknown.
+    pub heartbeat_interval: Duration,
 }
 
 /// Handle to a running agent, for the service that handles its backend server's calls.
@@ -91,11 +95,15 @@
         domain: settings.domain.clone(),
         run_id: random_run_id()?,
     };
+    let limits = Limits {
+        heartbeat_interval: settings.heartbeat_interval,
+        ..Limits::default()
+    };
     let any_port = SocketAddrV4::new(*settings.packet_address.ip(), 0);
     let driver = Rc::new(Driver {
         codec,
         process: ProcessContext::new(settings.name.clone(), settings.peer_address).await?,
-        agent: RefCell::new(Agent::new(place)),
+        agent: RefCell::new(Agent::with_settings(place, limits)),
         packet_socket: DatagramSocket::bind(settings.packet_address).await?,
         outbound_socket: DatagramSocket::bind(settings.outbound_address).await?,
         backend_socket: DatagramSocket::connect(any_port, settings.backend_address).await?,
--- a/crates/lavenderseam_passthrough/src/agent/backend.rs
+++ b/crates/lavenderseam_passthrough/src/agent/backend.rs
@@ -22,6 +22,8 @@
     /// Start time of the backend server in milliseconds since the Unix epoch; `None` if it isn't
     /// reported.
     pub started_at_ms: Option<u64>,
+    /// Time since the start of the backend server by the clock of the VM; `None` if it is unknown.
+    pub age: Option<Duration>,
     /// Sequence number of the heartbeat within one run of the backend server.
     pub sequence: u64,
     /// Name of the service that the backend server belongs to.
@@ -52,9 +54,12 @@
 /// State of the backend server beside the agent.
 #[derive(Clone, Debug, Default)]
 pub(crate) enum BackendState {
-    /// No heartbeat has been received.
+    /// No heartbeat has been received; a backend server may be running and may hold flows.
     #[default]
     Unknown,
+    /// No heartbeat has been received, and the port of the backend server was closed, so that it
+    /// holds no flows.
+    Absent,
     /// The backend server is running.
     Running(BackendRun),
     /// The backend server has terminated; holds its last run.
@@ -84,24 +89,45 @@
     OtherService(String),
 }
 
+impl Heartbeat {
+    /// Returns `true` if certainly no earlier heartbeat of the run was acknowledged.
+    ///
+    /// A heartbeat that fails is repeated at once, but one that was acknowledged is followed by the
+    /// next one only after the interval. Half of it allows for intervals that vary.
+    fn is_first_acknowledged(&self, interval: Duration) -> bool {
+        let is_early = |age| age < interval / 2;
+        self.sequence <= FIRST_HEARTBEAT_SEQUENCE || self.age.is_some_and(is_early)
+    }
+}
+
 impl BackendState {
     /// Processes a heartbeat.
+    ///
+    /// `interval` is the time between an acknowledged heartbeat and the next one; 0 if it is
+    /// unknown.
     pub(crate) fn apply(
         &mut self,
         heartbeat: &Heartbeat,
+        interval: Duration,
         now: Instant,
     ) -> Result<HeartbeatEffect, Rejection> {
         let run = match self {
             Self::Unknown => {
                 *self = Self::Running(BackendRun::new(
                     heartbeat,
-                    heartbeat.sequence <= FIRST_HEARTBEAT_SEQUENCE,
+                    heartbeat.is_first_acknowledged(interval),
                     now,
                 ));
                 return Ok(HeartbeatEffect::NewRun {
                     replaces_running: false,
                 });
             }
+            Self::Absent => {
+                *self = Self::Running(BackendRun::new(heartbeat, true, now));
+                return Ok(HeartbeatEffect::NewRun {
+                    replaces_running: false,
+                });
+            }
             Self::Running(run) | Self::Terminated(run) => run,
         };
         if run.id == heartbeat.id && run.started_at_ms == heartbeat.started_at_ms {
@@ -130,8 +156,18 @@
         })
     }
 
+    /// Records that the port of the backend server is closed; returns `true` if the state has
+    /// changed.
+    pub(crate) fn on_closed_port(&mut self) -> bool {
+        if matches!(self, Self::Unknown) {
+            *self = Self::Absent;
+            return true;
+        }
+        self.mark_terminated()
+    }
+
     /// Marks the current run as terminated; returns `true` if it was running.
-    pub(crate) fn mark_terminated(&mut self) -> bool {
+    fn mark_terminated(&mut self) -> bool {
         if let Self::Running(run) = self {
             *self = Self::Terminated(run.clone());
             return true;
@@ -149,16 +185,21 @@
     pub(crate) const fn current_run(&self) -> Option<&BackendRun> {
         match self {
             Self::Running(run) => Some(run),
-            Self::Unknown | Self::Terminated(_) => None,
+            Self::Unknown | Self::Absent | Self::Terminated(_) => None,
         }
     }
 
+    /// Returns `true` if nothing is known about the backend server.
+    pub(crate) const fn is_unknown(&self) -> bool {
+        matches!(self, Self::Unknown)
+    }
+
     /// Returns `true` if the agent has seen every flow that the backend server may hold.
     pub(crate) const fn has_seen_all_flows(&self) -> bool {
         match self {
             Self::Unknown => false,
             Self::Running(run) => run.all_flows_seen,
-            Self::Terminated(_) => true,
+            Self::Absent | Self::Terminated(_) => true,
         }
     }
 
@@ -166,7 +207,7 @@
     pub(crate) fn state(&self) -> TargetState {
         match self {
             Self::Unknown => TargetState::Unknown,
-            Self::Terminated(_) => TargetState::Ended,
+            Self::Absent | Self::Terminated(_) => TargetState::Ended,
             Self::Running(run) if run.draining => TargetState::Draining,
             Self::Running(_) => TargetState::Ready,
         }
--- a/crates/lavenderseam_passthrough/src/agent/liveness.rs
+++ b/crates/lavenderseam_passthrough/src/agent/liveness.rs
@@ -59,10 +59,13 @@
             && now.since(self.last_bounce) < BOUNCE_COOLDOWN
     }
 
-    /// Returns `true` if a probe is due, and records its time.
-    pub(crate) fn take_probe_due(&mut self, now: Instant) -> bool {
+    /// Returns `true` if a probe is due, and records its time; `is_unknown` tells that it isn't
+    /// known whether a backend server is running.
+    pub(crate) fn take_probe_due(&mut self, is_unknown: bool, now: Instant) -> bool {
         let timed_out = |since| now.since(since) >= UNANSWERED_TIMEOUT;
-        let suspect = self.consecutive_bounces > 0 || self.unanswered_since.is_some_and(timed_out);
+        let suspect = is_unknown
+            || self.consecutive_bounces > 0
+            || self.unanswered_since.is_some_and(timed_out);
         let interval_elapsed = |at| now.since(at) >= PROBE_INTERVAL;
         let due = suspect && self.last_probe.is_none_or(interval_elapsed);
         if due {
--- a/crates/lavenderseam_passthrough/src/agent/mod.rs
+++ b/crates/lavenderseam_passthrough/src/agent/mod.rs
@@ -331,7 +331,9 @@
         if heartbeat.service != self.identity.service {
             return Err(Rejection::OtherService(heartbeat.service.clone()));
         }
-        let outcome = self.backend.apply(heartbeat, now)?;
+        let outcome = self
+            .backend
+            .apply(heartbeat, self.settings.heartbeat_interval, now)?;
         match outcome {
             HeartbeatEffect::Unchanged => {}
             HeartbeatEffect::StateChanged => self.announce_to_all = true,
@@ -362,10 +364,10 @@
         departed
     }
 
-    /// Handles a refused connection, which means that the backend server has terminated; returns
-    /// `true` if it was considered running.
+    /// Handles a refused connection, which means that no backend server is running; returns `true`
+    /// if this wasn't known.
     pub fn on_connection_refused(&mut self, now: Instant) -> bool {
-        let ended = self.backend.mark_terminated();
+        let ended = self.backend.on_closed_port();
         if ended {
             self.end_all_flows(now);
             self.announce_to_all = true;
@@ -407,7 +409,8 @@
         if self.balancers.needs_lookup(&self.settings, now) {
             actions.push(Action::LookUpBalancers);
         }
-        if self.backend.current_run().is_some() && self.liveness.take_probe_due(now) {
+        let probes = self.backend.is_unknown() || self.backend.current_run().is_some();
+        if probes && self.liveness.take_probe_due(self.backend.is_unknown(), now) {
             actions.push(Action::ProbeBackend);
         }
         actions.extend(self.due_announcements(now));
--- a/crates/lavenderseam_passthrough/src/agent/settings.rs
+++ b/crates/lavenderseam_passthrough/src/agent/settings.rs
@@ -5,6 +5,9 @@
 /// Timeouts and limits of an agent.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
+    /// Time between an acknowledged heartbeat of the backend server and the next one; 0 if it is
+    /// unknown.
+    pub heartbeat_interval: Duration,
     /// Time between announcements to a responsive balancer.
     pub announce_interval: Duration,
     /// Time between announcements to an unresponsive balancer.
@@ -52,6 +55,7 @@
 impl Default for Settings {
     fn default() -> Self {
         Self {
+            heartbeat_interval: Duration::ZERO,
             announce_interval: Duration::from_millis(400),
             unresponsive_announce_interval: Duration::from_secs(3),
             unresponsive_after: Duration::from_secs(10),
--- a/crates/lavenderseam_passthrough/src/message.rs
+++ b/crates/lavenderseam_passthrough/src/message.rs
@@ -182,7 +182,7 @@
     Ready,
     /// The target keeps its open flows and accepts no new ones.
     Draining,
-    /// The backend server has terminated, and its flows with it.
+    /// No backend server is running, so the target holds no flows.
     Ended,
     /// The agent has received no heartbeat yet; a backend server may be running and may hold flows.
     #[default]
--- a/crates/lavenderseam_passthrough/tests/agent_backend.rs
+++ b/crates/lavenderseam_passthrough/tests/agent_backend.rs
@@ -4,13 +4,15 @@
 
 mod fixture;
 
+use std::time::Duration;
+
 use fixture::{
-    BALANCER, agent, agent_without_heartbeat, at_ms, header, heartbeat, is_delivered,
-    open_with_request, request, response, return_reason, syn, syn_ack,
+    BALANCER, HEARTBEAT_INTERVAL, agent, agent_without_heartbeat, at_ms, header, heartbeat,
+    is_delivered, open_with_request, request, response, return_reason, syn, syn_ack,
 };
 use googletest::prelude::*;
 use lavenderseam_passthrough::agent::{
-    Action, HeartbeatEffect, OutboundVerdict, Rejection, Verdict,
+    Action, Heartbeat, HeartbeatEffect, OutboundVerdict, Rejection, Verdict,
 };
 use lavenderseam_passthrough::message::{Reason, TargetState};
 
@@ -167,6 +169,48 @@
     );
 }
 
+/// After a power failure the backend server's first heartbeats fail until the agent listens. Flows
+/// are admitted only after an acknowledged one, and the next one follows after an interval.
+#[gtest]
+fn agent_denies_flows_if_no_earlier_heartbeat_can_have_been_acknowledged() {
+    let denies = |sequence: u64, age: Option<Duration>| {
+        let mut agent = agent_without_heartbeat();
+        let heartbeat = Heartbeat {
+            age,
+            ..heartbeat(sequence)
+        };
+        agent.on_heartbeat(&heartbeat, at_ms(0)).unwrap();
+        let verdict = agent.on_forwarded_packet(&request(1, 1), header(), BALANCER, at_ms(1));
+        return_reason(&verdict) == Some(Reason::NotHeld)
+    };
+    let early = Some(HEARTBEAT_INTERVAL / 4);
+    expect_that!(denies(2, early), eq(true));
+    expect_that!(denies(3, early), eq(true));
+    expect_that!(denies(2, Some(HEARTBEAT_INTERVAL)), eq(false));
+    expect_that!(denies(2, None), eq(false));
+    expect_that!(denies(1, None), eq(true));
+}
+
+/// An agent that was started beside no backend server finds this out by a probe; until then it can't
+/// deny flows.
+#[gtest]
+fn agent_without_backend_server_denies_flows_once_its_port_is_closed() {
+    let mut agent = agent_without_heartbeat();
+    expect_that!(agent.tick(at_ms(100)), contains(eq(&Action::ProbeBackend)));
+    let verdict = agent.on_forwarded_packet(&request(1, 1), header(), BALANCER, at_ms(110));
+    expect_that!(is_delivered(&verdict), eq(true));
+    expect_that!(agent.on_connection_refused(at_ms(120)), eq(true));
+    expect_that!(agent.on_connection_refused(at_ms(121)), eq(false));
+    expect_that!(agent.target_state(), eq(TargetState::Ended));
+    let verdict = agent.on_forwarded_packet(&request(1, 1), header(), BALANCER, at_ms(130));
+    expect_that!(return_reason(&verdict), some(eq(Reason::NotHeld)));
+    // The agent sees all flows of a backend server that starts now.
+    agent.on_heartbeat(&heartbeat(4), at_ms(900)).unwrap();
+    expect_that!(agent.target_state(), eq(TargetState::Ready));
+    let verdict = agent.on_forwarded_packet(&request(1, 1), header(), BALANCER, at_ms(910));
+    expect_that!(return_reason(&verdict), some(eq(Reason::NotHeld)));
+}
+
 #[gtest]
 fn bounced_segment_of_open_flow_ends_the_flow() {
     let mut agent = agent();
