Let balancers that have just started know sooner which targets exist

Change: agents register in the store when they start, before they admit flows, and remove the registration when their backend server has left. A balancer that starts lists them, and knows all targets once it has heard from each. If a few are missing, which may have failed, the old rule holds; if many are, they are starting, and the balancer waits for 3 s. Gossip begins with the peers after the own address, and greets balancers that have become known in the next round. Agents repeat an announcement to a balancer that they have just learned of each 100 ms until it replies. A silent agent without a backend server holds no flows.

Store calls of an agent: one at its start, one when its backend server leaves.

--- a/crates/lavenderseam_node/src/agent/driver.rs
+++ b/crates/lavenderseam_node/src/agent/driver.rs
@@ -16,7 +16,7 @@
 use lavenderseam_passthrough::segment::Segment;
 use tokio::net::TcpStream;
 
-use super::BalancerDirectory;
+use super::Directory;
 use crate::codec::PacketCodec;
 use crate::http::{Request, Service, ServiceResponse};
 use crate::log::{DependencyChange, Event, LogKey};
@@ -27,6 +27,11 @@
 /// Timeout of a liveness probe, which connects to the backend server on the same VM.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Delay after the first failed registration, which doubles with each further failure.
+const INITIAL_REGISTRATION_DELAY: Duration = Duration::from_millis(100);
+/// Maximum delay between attempts to register.
+const MAX_REGISTRATION_DELAY: Duration = Duration::from_secs(4);
+
 /// An agent's state machine with its sockets, packet codec and process context.
 #[derive(Debug)]
 pub(crate) struct Driver<C> {
@@ -72,6 +77,9 @@
                 Ok((Message::Hello(hello), _, from)) => {
                     let now = self.process.clock.now();
                     self.agent.borrow_mut().on_balancer_hello(&hello, from, now);
+                    if !hello.balancers.is_empty() {
+                        self.announce();
+                    }
                 }
                 Ok((Message::Verify, bytes, from)) => self.verify_packet(bytes, from),
                 Ok((Message::LocationQuery(query), _, from)) => {
@@ -116,14 +124,8 @@
     }
 
     /// Ticks the state machine forever and executes its actions.
-    pub(crate) async fn run_ticks(
-        self: Rc<Self>,
-        period: Duration,
-        directory: impl BalancerDirectory,
-    ) {
-        let directory = Rc::new(directory);
+    pub(crate) async fn run_ticks(self: Rc<Self>, period: Duration, directory: Rc<impl Directory>) {
         loop {
-            tokio::time::sleep(period).await;
             let now = self.process.clock.now();
             let actions = self.agent.borrow_mut().tick(now);
             for action in actions {
@@ -148,6 +150,7 @@
             self.process.metrics.flows.set(i64::from(load.flows));
             self.process.metrics.busy.set(i64::from(load.busy_slots));
             self.process.log.flush(now);
+            tokio::time::sleep(period).await;
         }
     }
 
@@ -376,15 +379,42 @@
         }
     }
 
+    /// Registers the agent; retries until it succeeds.
+    pub(crate) async fn register(&self, directory: &impl Directory) {
+        let mut delay = INITIAL_REGISTRATION_DELAY;
+        while let Err(error) = directory.register().await {
+            self.process.metrics.store_calls.inc();
+            self.record_store_error(&error);
+            tokio::time::sleep(delay).await;
+            delay = (delay * 2).min(MAX_REGISTRATION_DELAY);
+        }
+        self.process.metrics.store_calls.inc();
+        self.agent.borrow_mut().set_registered();
+    }
+
+    /// Removes the registration of the agent; logs a failure.
+    pub(crate) async fn deregister(&self, directory: &impl Directory) {
+        self.process.metrics.store_calls.inc();
+        if let Err(error) = directory.deregister().await {
+            self.record_store_error(&error);
+        }
+    }
+
+    /// Counts and logs a failed request to the store.
+    fn record_store_error(&self, error: &impl std::fmt::Display) {
+        self.process.metrics.store_errors.inc();
+        self.process.log(&Event::Dependency {
+            name: "store",
+            change: DependencyChange::Lost,
+            reason: error.to_string(),
+        });
+    }
+
     /// Looks up balancers in the directory and adds them as seeds.
-    async fn find_balancers(&self, directory: &impl BalancerDirectory) {
+    async fn find_balancers(&self, directory: &impl Directory) {
         match directory.balancers().await {
             Ok(balancers) => self.add_seeds(&balancers),
-            Err(error) => self.process.log(&Event::Dependency {
-                name: "store",
-                change: DependencyChange::Lost,
-                reason: error.to_string(),
-            }),
+            Err(error) => self.record_store_error(&error),
         }
     }
 
--- a/crates/lavenderseam_node/src/agent/mod.rs
+++ b/crates/lavenderseam_node/src/agent/mod.rs
@@ -22,6 +22,12 @@
 use crate::unix_signals::{SignalAction, SignalListener};
 use driver::Driver;
 
+/// Time for which an agent admits no flows unless it is registered: the store usually accepts a
+/// registration within milliseconds, and a target without registration serves callers as well.
+const REGISTRATION_TIMEOUT: Duration = Duration::from_millis(300);
+/// Time that a stopping agent waits until its registration is removed.
+const DEREGISTRATION_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// Settings of an agent.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Settings {
@@ -58,11 +64,18 @@
     driver: Rc<Driver<C>>,
 }
 
-/// Directory in which an agent looks up balancers when no known balancer responds.
-pub trait BalancerDirectory: 'static {
-    /// Error of a failed lookup.
+/// Directory in which an agent registers, and looks up balancers when no known balancer responds.
+pub trait Directory: 'static {
+    /// Error of a failed request.
     type Error: Error;
 
+    /// Registers the agent, so that balancers that start know of its target; succeeds if it is
+    /// registered already.
+    fn register(&self) -> impl Future<Output = Result<(), Self::Error>>;
+
+    /// Removes the registration of the agent.
+    fn deregister(&self) -> impl Future<Output = Result<(), Self::Error>>;
+
     /// Returns the message addresses of the registered balancers.
     fn balancers(&self) -> impl Future<Output = Result<Vec<SocketAddrV4>, Self::Error>>;
 }
@@ -84,7 +97,7 @@
 ) -> io::Result<()>
 where
     C: PacketCodec,
-    D: BalancerDirectory,
+    D: Directory,
     S: Service + 'static,
     R: Fn() -> Option<Result<Vec<SocketAddrV4>, E>>,
     E: Error,
@@ -96,6 +109,7 @@
         run_id: random_run_id()?,
     };
     let limits = Limits {
+        registration_timeout: REGISTRATION_TIMEOUT,
         heartbeat_interval: settings.heartbeat_interval,
         ..Limits::default()
     };
@@ -128,8 +142,13 @@
     tokio::task::spawn_local(async move { task_driver.receive_outbound().await });
     let task_driver = Rc::clone(&driver);
     tokio::task::spawn_local(async move { task_driver.watch_backend_port().await });
-    let task_driver = Rc::clone(&driver);
-    tokio::task::spawn_local(async move { task_driver.run_ticks(TICK_INTERVAL, directory).await });
+    let directory = Rc::new(directory);
+    let (task_driver, task_directory) = (Rc::clone(&driver), Rc::clone(&directory));
+    tokio::task::spawn_local(async move { task_driver.register(task_directory.as_ref()).await });
+    let (task_driver, task_directory) = (Rc::clone(&driver), Rc::clone(&directory));
+    tokio::task::spawn_local(async move {
+        task_driver.run_ticks(TICK_INTERVAL, task_directory).await;
+    });
     loop {
         let action = tokio::select! {
             action = signals.next() => action,
@@ -143,6 +162,11 @@
     // Flows terminate at the backend server on this VM, so no other agent can take them over.
     // Exiting at once lets the restarted agent take over sooner, which loses fewer packets.
     driver.process.log(&Event::Stop);
+    if driver.agent.borrow().has_departed() {
+        let deregistration = driver.deregister(directory.as_ref());
+        // The registration of a target that doesn't exist delays conclusions, but nothing else.
+        let _ = tokio::time::timeout(DEREGISTRATION_TIMEOUT, deregistration).await;
+    }
     Ok(())
 }
 
--- a/crates/lavenderseam_node/src/balancer/driver.rs
+++ b/crates/lavenderseam_node/src/balancer/driver.rs
@@ -96,7 +96,6 @@
     /// Ticks the state machine forever and executes its actions.
     pub(crate) async fn run_ticks(self: Rc<Self>, period: Duration) {
         loop {
-            tokio::time::sleep(period).await;
             let now = self.process.clock.now();
             let actions = self.balancer.borrow_mut().tick(now);
             for action in actions {
@@ -104,6 +103,7 @@
             }
             self.update_status();
             self.process.log.flush(now);
+            tokio::time::sleep(period).await;
         }
     }
 
--- a/crates/lavenderseam_node/src/balancer/records.rs
+++ b/crates/lavenderseam_node/src/balancer/records.rs
@@ -301,6 +301,20 @@
             .set_registered_balancers(roster, now);
     }
 
+    /// Sets the agents that are registered in the store at a revision.
+    pub fn set_registered_agents(&self, agents: &[SocketAddrV4], revision: Revision) {
+        let mut balancer = self.driver.balancer.borrow_mut();
+        balancer.set_registered_agents(agents);
+        drop(balancer);
+        self.driver.process.log(&Event::RecordsListed {
+            record: "agents",
+            revision: revision.into(),
+            records: agents.len(),
+            carried_over: 0,
+            reason: "start",
+        });
+    }
+
     /// Logs that the store became unavailable or available again.
     pub fn log_store_change(&self, change: DependencyChange, reason: &impl ToString) {
         self.driver.process.log(&Event::Dependency {
@@ -342,6 +356,12 @@
         self.driver.balancer.borrow().balancer_count()
     }
 
+    /// Returns `true` if the balancer has received no gossip of another one for some time.
+    #[must_use]
+    pub fn is_isolated(&self) -> bool {
+        self.driver.balancer.borrow().is_isolated(self.now())
+    }
+
     /// Returns the current time of the balancer's clock.
     #[must_use]
     pub fn now(&self) -> Instant {
--- a/crates/lavenderseam_node/src/socket.rs
+++ b/crates/lavenderseam_node/src/socket.rs
@@ -35,7 +35,10 @@
 impl DatagramSocket {
     /// Binds a socket to an address.
     pub(crate) async fn bind(address: SocketAddrV4) -> io::Result<Self> {
-        Ok(Self::new(UdpSocket::bind(address).await?))
+        let inner = UdpSocket::bind(address).await?;
+        // Until the runtime has seen that the socket is writable, it fails each attempt to send.
+        inner.writable().await?;
+        Ok(Self::new(inner))
     }
 
     /// Binds a socket and connects it to one peer.
@@ -44,6 +47,7 @@
     pub(crate) async fn connect(local: SocketAddrV4, peer: SocketAddrV4) -> io::Result<Self> {
         let inner = UdpSocket::bind(local).await?;
         inner.connect(peer).await?;
+        inner.writable().await?;
         Ok(Self::new(inner))
     }
 
--- a/crates/lavenderseam_passthrough/src/agent/admission.rs
+++ b/crates/lavenderseam_passthrough/src/agent/admission.rs
@@ -84,6 +84,9 @@
         if run.is_draining() {
             return Err(Reason::Draining);
         }
+        if !self.registered && !self.may_admit_unregistered(now) {
+            return Err(Reason::Unready);
+        }
         if self.limits.domain_out {
             return Err(Reason::DomainOut);
         }
--- a/crates/lavenderseam_passthrough/src/agent/backend.rs
+++ b/crates/lavenderseam_passthrough/src/agent/backend.rs
@@ -49,6 +49,8 @@
     warm_at: Instant,
     /// `true` if the agent has seen every flow that this run may hold.
     all_flows_seen: bool,
+    /// `true` if the backend server has announced that it terminates.
+    departed: bool,
 }
 
 /// State of the backend server beside the agent.
@@ -178,7 +180,12 @@
     /// Marks the run of the backend server with this identifier as terminated; returns `true` if it
     /// was running.
     pub(crate) fn mark_departed(&mut self, id: &str) -> bool {
-        matches!(self, Self::Running(run) if run.id == id) && self.mark_terminated()
+        let is_running = matches!(self, Self::Running(run) if run.id == id);
+        let departed = is_running && self.mark_terminated();
+        if let Self::Terminated(run) = self {
+            run.departed |= departed;
+        }
+        departed
     }
 
     /// Returns the current run, or `None` if no backend server is known to be running.
@@ -189,6 +196,11 @@
         }
     }
 
+    /// Returns `true` if the backend server has announced that it terminates.
+    pub(crate) const fn has_departed(&self) -> bool {
+        matches!(self, Self::Terminated(run) if run.departed)
+    }
+
     /// Returns `true` if nothing is known about the backend server.
     pub(crate) const fn is_unknown(&self) -> bool {
         matches!(self, Self::Unknown)
@@ -224,6 +236,7 @@
             slots: heartbeat.slots.max(1),
             warm_at: now + heartbeat.cold_remaining,
             all_flows_seen,
+            departed: false,
         }
     }
 
--- a/crates/lavenderseam_passthrough/src/agent/balancers.rs
+++ b/crates/lavenderseam_passthrough/src/agent/balancers.rs
@@ -80,7 +80,11 @@
         let mut due = Vec::new();
         for (address, balancer) in &mut self.entries {
             let unresponsive = now.since(balancer.last_message_at) >= settings.unresponsive_after;
-            let interval = if unresponsive {
+            let is_introduced = balancer.ever_received
+                || now.since(balancer.last_message_at) >= settings.introduction_period;
+            let interval = if !is_introduced {
+                settings.introduction_interval
+            } else if unresponsive {
                 settings.unresponsive_announce_interval
             } else {
                 settings.announce_interval
--- a/crates/lavenderseam_passthrough/src/agent/mod.rs
+++ b/crates/lavenderseam_passthrough/src/agent/mod.rs
@@ -141,6 +141,10 @@
     liveness: BackendLiveness,
     response_time: ResponseTime,
     penalties: FailurePenalties,
+    /// `true` once the agent is registered, so that balancers that start know of its target.
+    registered: bool,
+    /// Time of the first tick.
+    started_at: Option<Instant>,
 }
 
 /// Limits of the service, as received from balancers.
@@ -182,9 +186,30 @@
             liveness: BackendLiveness::default(),
             response_time: ResponseTime::default(),
             penalties: FailurePenalties::default(),
+            registered: false,
+            started_at: None,
         }
     }
 
+    /// Records that the agent is registered.
+    pub const fn set_registered(&mut self) {
+        self.registered = true;
+    }
+
+    /// Returns `true` if the backend server has announced that it terminates, so that the
+    /// registration of the target is no longer needed.
+    #[must_use]
+    pub const fn has_departed(&self) -> bool {
+        self.backend.has_departed()
+    }
+
+    /// Returns `true` if the agent may admit flows although a balancer that starts now may not know
+    /// of its target.
+    fn may_admit_unregistered(&self, now: Instant) -> bool {
+        let waited = self.started_at.map(|started_at| now.since(started_at));
+        waited.unwrap_or_default() >= self.settings.registration_timeout
+    }
+
     /// Handles a packet that a balancer forwarded.
     pub fn on_forwarded_packet(
         &mut self,
@@ -400,6 +425,7 @@
 
     /// Advances timers and returns the actions that are due; to be called several times per second.
     pub fn tick(&mut self, now: Instant) -> Vec<Action> {
+        self.started_at.get_or_insert(now);
         self.flows.expire(&self.settings, now);
         let retention = self.settings.ended_flow_retention;
         self.ended_flows
--- a/crates/lavenderseam_passthrough/src/agent/settings.rs
+++ b/crates/lavenderseam_passthrough/src/agent/settings.rs
@@ -10,6 +10,13 @@
     pub heartbeat_interval: Duration,
     /// Time between announcements to a responsive balancer.
     pub announce_interval: Duration,
+    /// Time for which the agent waits for its registration before it admits flows without it.
+    pub registration_timeout: Duration,
+    /// Time between announcements to a balancer that has just become known and hasn't replied yet;
+    /// it may be starting, too.
+    pub introduction_interval: Duration,
+    /// Time for which these announcements continue.
+    pub introduction_period: Duration,
     /// Time between announcements to an unresponsive balancer.
     pub unresponsive_announce_interval: Duration,
     /// Time without a message after which a balancer counts as unresponsive.
@@ -57,6 +64,9 @@
         Self {
             heartbeat_interval: Duration::ZERO,
             announce_interval: Duration::from_millis(400),
+            registration_timeout: Duration::ZERO,
+            introduction_interval: Duration::from_millis(100),
+            introduction_period: Duration::from_secs(2),
             unresponsive_announce_interval: Duration::from_secs(3),
             unresponsive_after: Duration::from_secs(10),
             balancer_expiry: Duration::from_secs(120),
--- a/crates/lavenderseam_passthrough/src/balancer/location.rs
+++ b/crates/lavenderseam_passthrough/src/balancer/location.rs
@@ -541,9 +541,14 @@
             !query.asked.contains(&target.id) && !has_ended
         };
         let new_targets = self.targets.iter().filter(is_new).map(|target| target.id);
+        // An agent without a backend server that no longer responds has left with its VM.
+        let may_hold = |target: &&TargetId| {
+            let target = self.targets.get(**target);
+            target.is_some_and(|target| target.state != TargetState::Ended)
+        };
         // Visits take the last target first.
-        let mut undecided: Vec<TargetId> = query.suspect.iter().copied().collect();
-        undecided.extend(&query.awaited);
+        let silent = query.suspect.iter().chain(&query.awaited);
+        let mut undecided: Vec<TargetId> = silent.filter(may_hold).copied().collect();
         undecided.extend(new_targets);
         for flow in query.flows {
             let Some(unverified) = self.searches.unverified_mut(flow, number) else {
--- a/crates/lavenderseam_passthrough/src/balancer/mod.rs
+++ b/crates/lavenderseam_passthrough/src/balancer/mod.rs
@@ -22,6 +22,7 @@
 mod targets;
 mod verdict;
 
+use std::collections::BTreeSet;
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
@@ -112,6 +113,8 @@
     searches: Searches,
     peers: Peers,
     last_gossip: Instant,
+    /// Targets whose agents were registered when the balancer started; `None` if this isn't known.
+    registered_targets: Option<BTreeSet<TargetId>>,
     /// Time of the first tick, or of the first tick after the process was suspended.
     running_since: Option<Instant>,
     last_tick: Instant,
@@ -139,6 +142,7 @@
             searches: Searches::default(),
             peers: Peers::default(),
             last_gossip: Instant::default(),
+            registered_targets: None,
             running_since: None,
             last_tick: Instant::default(),
             queue_delay: Duration::ZERO,
@@ -287,6 +291,12 @@
         self.targets.merge(snapshots, now);
     }
 
+    /// Sets the agents that were registered after this balancer had started.
+    pub fn set_registered_agents(&mut self, agents: &[SocketAddrV4]) {
+        let targets = agents.iter().copied().map(TargetId::new);
+        self.registered_targets = Some(targets.collect());
+    }
+
     /// Applies the set of balancers that have registered with the store.
     pub fn set_registered_balancers(&mut self, registered: &RegisteredBalancers, now: Instant) {
         let mut balancers = registered.balancers.clone();
@@ -297,7 +307,11 @@
     /// Advances timers and returns the actions that are due; to be called several times per second.
     pub fn tick(&mut self, now: Instant) -> Vec<Action> {
         if now.since(self.last_tick) >= MAX_TICK_GAP {
-            self.running_since = Some(now);
+            let was_suspended = self.running_since.replace(now).is_some();
+            if was_suspended {
+                // Agents may have registered in the meantime.
+                self.registered_targets = None;
+            }
         }
         self.last_tick = now;
         self.out_of_service.expire(now);
@@ -310,7 +324,7 @@
             self.last_gossip = now;
             actions.extend(self.introductions());
             let gossip = self.gossip();
-            for to in self.peers.next_gossip_peers(now) {
+            for to in self.peers.next_gossip_peers(self.identity.address, now) {
                 let gossip = gossip.clone();
                 actions.push(Action::Gossip { to, gossip });
             }
@@ -329,6 +343,14 @@
         self.desired_state.is_some() && self.targets.iter().any(is_serving)
     }
 
+    /// Returns `true` if no gossip of another balancer has arrived for some time, so that the
+    /// balancer may know none that is running.
+    #[must_use]
+    pub fn is_isolated(&self, now: Instant) -> bool {
+        let silent_since = self.peers.last_gossip().max(self.running_since);
+        silent_since.is_some_and(|since| now.since(since) >= self.settings.isolation_timeout)
+    }
+
     /// Returns the current desired state.
     #[must_use]
     pub const fn desired_state(&self) -> Option<&DesiredState> {
--- a/crates/lavenderseam_passthrough/src/balancer/peers.rs
+++ b/crates/lavenderseam_passthrough/src/balancer/peers.rs
@@ -21,6 +21,9 @@
     last_message_at: BTreeMap<SocketAddrV4, Instant>,
     registered: BTreeSet<SocketAddrV4>,
     next_peer: usize,
+    /// Balancers that haven't been sent gossip yet, and get some in the next round.
+    newcomers: BTreeSet<SocketAddrV4>,
+    last_gossip: Option<Instant>,
     divergent: Option<DivergentPeer>,
     last_agreement: Option<Instant>,
 }
@@ -37,13 +40,16 @@
     pub(crate) fn set_registered(&mut self, balancers: &BTreeSet<SocketAddrV4>, now: Instant) {
         self.registered.clone_from(balancers);
         for peer in balancers {
-            self.last_message_at.entry(*peer).or_insert(now);
+            self.insert(*peer, now);
         }
     }
 
     /// Adds a balancer if it isn't known yet.
     pub(crate) fn insert(&mut self, peer: SocketAddrV4, now: Instant) {
-        self.last_message_at.entry(peer).or_insert(now);
+        self.last_message_at.entry(peer).or_insert_with(|| {
+            self.newcomers.insert(peer);
+            now
+        });
     }
 
     /// Records gossip from another balancer, and the balancers that it names; `own` is the address
@@ -55,9 +61,11 @@
         own: SocketAddrV4,
         now: Instant,
     ) {
+        self.last_gossip = Some(now);
+        self.insert(from, now);
         self.last_message_at.insert(from, now);
         for peer in gossip.balancers.iter().filter(|peer| **peer != own) {
-            self.last_message_at.entry(*peer).or_insert(now);
+            self.insert(*peer, now);
         }
     }
 
@@ -98,21 +106,43 @@
         self.last_agreement
     }
 
+    /// Returns the time at which the last gossip of another balancer arrived.
+    pub(crate) const fn last_gossip(&self) -> Option<Instant> {
+        self.last_gossip
+    }
+
     /// Returns `true` if no other balancer is known.
     pub(crate) fn is_empty(&self) -> bool {
         self.last_message_at.is_empty()
     }
 
     /// Returns the balancers for the next round of gossip, and removes expired ones.
-    pub(crate) fn next_gossip_peers(&mut self, now: Instant) -> Vec<SocketAddrV4> {
+    ///
+    /// The rotation begins after `own`, the address of this balancer. If all balancers began with
+    /// the same peer, those that start together would all contact the same few at the same time.
+    /// Some that have become known since come first, so that a balancer that has just started soon
+    /// hears of all others.
+    pub(crate) fn next_gossip_peers(
+        &mut self,
+        own: SocketAddrV4,
+        now: Instant,
+    ) -> Vec<SocketAddrV4> {
         let registered = &self.registered;
         self.last_message_at
             .retain(|peer, at| registered.contains(peer) || now.since(*at) < PEER_EXPIRY);
         let count = self.last_message_at.len();
-        let first = self.next_peer;
+        let before_own = self.last_message_at.range(..own).count();
+        let first = before_own + self.next_peer;
         self.next_peer = (self.next_peer + GOSSIP_FANOUT) % count.max(1);
+        let newcomers = std::iter::from_fn(|| self.newcomers.pop_first());
+        let mut recipients: Vec<_> = newcomers.take(GOSSIP_FANOUT).collect();
         let peers = self.last_message_at.keys().cycle().skip(first);
-        peers.take(GOSSIP_FANOUT.min(count)).copied().collect()
+        for peer in peers.take(GOSSIP_FANOUT.min(count)) {
+            if !recipients.contains(peer) {
+                recipients.push(*peer);
+            }
+        }
+        recipients
     }
 
     /// Returns the addresses of all known balancers.
--- a/crates/lavenderseam_passthrough/src/balancer/search.rs
+++ b/crates/lavenderseam_passthrough/src/balancer/search.rs
@@ -3,6 +3,7 @@
 use lavenderseam_core::time::Instant;
 
 use super::cache::{CacheEntry, OwnerState};
+use super::target::Target;
 use super::targets::FlowRequest;
 use super::{Balancer, DiscardReason, Verdict};
 use crate::flow::Flow;
@@ -80,7 +81,8 @@
             return self.visit(segment, target, attempted, now);
         }
         self.cache.remove(flow);
-        if !self.routes.contains(flow) {
+        // No caller waits for the owner of a flow that it has reset itself.
+        if !self.routes.contains(flow) || segment.flags.rst {
             return Verdict::Drop(DiscardReason::Unowned);
         }
         let gather_time = self.settings.query_gather_time;
@@ -163,19 +165,50 @@
         !long_enough && !self.knows_all_targets(now)
     }
 
-    /// Returns `true` if the balancer knows every target: the process has run for some time, and
-    /// another balancer has recently reported that it knows the same targets.
+    /// Returns `true` if the balancer knows every target.
+    ///
+    /// This is certain once it has received a message from each registered agent, and from no
+    /// other. Otherwise the process must have run for some time, which is longer while many
+    /// registered agents are missing, and another balancer must have recently reported that it
+    /// knows the same targets.
     pub(super) fn knows_all_targets(&self, now: Instant) -> bool {
         let Some(running_since) = self.running_since else {
             return false;
         };
+        let has_heard = |target: &TargetId| {
+            let target = self.targets.get(*target);
+            target.is_some_and(|target| target.has_sent_since(running_since))
+        };
+        let min_uptime = match &self.registered_targets {
+            None => self.settings.min_uptime,
+            Some(registered) => {
+                let is_registered = |target: &Target| registered.contains(&target.id);
+                let missing = registered
+                    .iter()
+                    .filter(|target| !has_heard(target))
+                    .count();
+                let max_failed = registered
+                    .len()
+                    .div_ceil(self.settings.targets_per_failed_agent);
+                if missing > max_failed {
+                    self.settings.min_uptime_while_agents_start
+                } else if missing > 0
+                    || registered.is_empty()
+                    || !self.targets.iter().all(is_registered)
+                {
+                    self.settings.min_uptime
+                } else {
+                    return true;
+                }
+            }
+        };
+        let uptime = now.since(running_since);
         let agreed = self
             .peers
             .last_agreement()
             .filter(|agreed_at| *agreed_at >= running_since)
             .is_some_and(|agreed_at| now.since(agreed_at) < self.settings.agreement_lifetime);
-        let uptime = now.since(running_since);
-        (agreed && uptime >= self.settings.min_uptime)
+        (agreed && uptime >= min_uptime)
             || (self.peers.is_empty() && uptime >= self.settings.min_uptime_alone)
     }
 }
--- a/crates/lavenderseam_passthrough/src/balancer/settings.rs
+++ b/crates/lavenderseam_passthrough/src/balancer/settings.rs
@@ -24,6 +24,8 @@
     pub agent_expiry: Duration,
     /// Time between rounds of gossip with other balancers.
     pub gossip_interval: Duration,
+    /// Time without gossip after which a balancer counts as isolated from all others.
+    pub isolation_timeout: Duration,
     /// Time for which records may differ from those of another balancer before they are fetched;
     /// the store's watch or an agent's announcement usually brings them sooner.
     pub fetch_delay: Duration,
@@ -82,6 +84,12 @@
     /// Minimum uptime of a balancer before it may conclude that no target holds a flow; agents that
     /// it doesn't know yet announce themselves within this time.
     pub min_uptime: Duration,
+    /// Minimum uptime for the same conclusion if many registered agents have sent no message yet,
+    /// because they are still starting.
+    pub min_uptime_while_agents_start: Duration,
+    /// Number of registered agents for each one that may have failed for good; more missing ones
+    /// are taken to be starting.
+    pub targets_per_failed_agent: usize,
     /// Time for which the agreement of another balancer about the known targets counts: several
     /// rounds of gossip.
     pub agreement_lifetime: Duration,
@@ -106,6 +114,7 @@
             unready_after: Duration::from_millis(800),
             agent_expiry: Duration::from_secs(60),
             gossip_interval: Duration::from_millis(500),
+            isolation_timeout: Duration::from_secs(5),
             fetch_delay: Duration::from_millis(400),
             cross_domain_cost: 0.35,
             cold_cost: 0.5,
@@ -127,6 +136,8 @@
             uncertain_timeout: Duration::from_secs(2),
             max_searches: 1 << 12,
             min_uptime: Duration::from_millis(1_200),
+            min_uptime_while_agents_start: Duration::from_secs(3),
+            targets_per_failed_agent: 20,
             agreement_lifetime: Duration::from_secs(3),
             min_uptime_alone: Duration::from_secs(3),
             max_queue_delay: Duration::from_millis(100),
--- a/crates/lavenderseam_passthrough/src/balancer/target.rs
+++ b/crates/lavenderseam_passthrough/src/balancer/target.rs
@@ -90,6 +90,11 @@
         &self.service_name
     }
 
+    /// Returns `true` if the agent has sent a message to this balancer since `since`.
+    pub(crate) fn has_sent_since(&self, since: Instant) -> bool {
+        self.received_directly && self.last_message_at >= since
+    }
+
     /// Returns `true` if only other balancers have received messages from the agent.
     pub(crate) fn is_known_indirectly(&self) -> bool {
         !self.received_directly
--- /dev/null
+++ b/crates/lavenderseam_passthrough/tests/gossip.rs
@@ -0,0 +1,126 @@
+//! How balancers and agents that start come to know the others.
+
+#![expect(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
+
+mod fixture;
+
+use std::collections::BTreeMap;
+use std::net::{Ipv4Addr, SocketAddrV4};
+
+use fixture::{BALANCER, agent, at_ms, balancer_hello};
+use googletest::prelude::*;
+use lavenderseam_passthrough::agent;
+use lavenderseam_passthrough::balancer::{Action, Balancer, Identity};
+use lavenderseam_passthrough::message::RecordVersions;
+
+fn peer(index: u8) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::new(10, 1, 1, index), 7_000)
+}
+
+fn balancer() -> Balancer {
+    Balancer::new(Identity {
+        domain: "a".to_owned(),
+        address: BALANCER,
+        rpc_address: BALANCER,
+    })
+}
+
+/// Returns the balancers that a tick sends gossip to.
+fn gossip_recipients(balancer: &mut Balancer, milliseconds: u64) -> Vec<SocketAddrV4> {
+    let actions = balancer.tick(at_ms(milliseconds)).into_iter();
+    actions
+        .filter_map(|action| match action {
+            Action::Gossip { to, .. } => Some(to),
+            _ => None,
+        })
+        .collect()
+}
+
+/// A balancer that starts among many others hears from those that it contacted in their next round,
+/// not only when their rotation reaches it.
+#[gtest]
+fn a_balancer_that_has_become_known_gets_gossip_in_the_next_round() {
+    let mut balancer = balancer();
+    for index in 1..=60 {
+        balancer.add_peer(peer(index), at_ms(0));
+    }
+    for round in 0..20 {
+        gossip_recipients(&mut balancer, round * 500);
+    }
+    let newcomer = peer(200);
+    let gossip = RecordVersions {
+        balancers: vec![newcomer, peer(201)],
+        ..RecordVersions::default()
+    };
+    balancer.on_gossip(&gossip, newcomer, at_ms(10_100));
+    let recipients = gossip_recipients(&mut balancer, 10_500);
+    expect_that!(recipients, contains(eq(&newcomer)));
+    expect_that!(recipients, contains(eq(&peer(201))));
+    expect_that!(recipients.len(), le(8));
+}
+
+/// Balancers that start together contact different peers in each round, so that each of them hears
+/// from another one in nearly every round.
+#[gtest]
+fn gossip_of_balancers_that_start_together_is_spread_evenly() {
+    const BALANCERS: u8 = 60;
+    let new_balancer = |index| {
+        let address = peer(index);
+        let mut balancer = Balancer::new(Identity {
+            domain: "a".to_owned(),
+            address,
+            rpc_address: address,
+        });
+        let others = (1..=BALANCERS).filter(|other| *other != index);
+        others.for_each(|other| balancer.add_peer(peer(other), at_ms(0)));
+        balancer
+    };
+    let mut balancers: Vec<Balancer> = (1..=BALANCERS).map(new_balancer).collect();
+    for round in 0..40 {
+        let mut received: BTreeMap<SocketAddrV4, usize> = BTreeMap::new();
+        for balancer in &mut balancers {
+            for to in gossip_recipients(balancer, 10_000 + round * 500) {
+                *received.entry(to).or_default() += 1;
+            }
+        }
+        // The first rounds also greet balancers that have just become known.
+        if round >= 20 {
+            expect_that!(received.len(), ge(usize::from(BALANCERS) - 8));
+            expect_that!(received.values().max(), some(le(&8)));
+        }
+    }
+}
+
+/// Registrations are listed again only by a balancer that hears from no other one.
+#[gtest]
+fn a_balancer_without_gossip_is_isolated() {
+    let mut balancer = balancer();
+    expect_that!(balancer.is_isolated(at_ms(0)), eq(false));
+    balancer.tick(at_ms(0));
+    expect_that!(balancer.is_isolated(at_ms(4_900)), eq(false));
+    expect_that!(balancer.is_isolated(at_ms(5_000)), eq(true));
+    balancer.on_gossip(&RecordVersions::default(), peer(1), at_ms(5_100));
+    expect_that!(balancer.is_isolated(at_ms(10_000)), eq(false));
+    expect_that!(balancer.is_isolated(at_ms(10_100)), eq(true));
+}
+
+/// After a power failure agents and balancers start at the same time. An announcement that is lost
+/// because the balancer isn't listening yet is repeated soon.
+#[gtest]
+fn an_agent_repeats_its_introduction_until_the_balancer_replies() {
+    let mut agent = agent();
+    agent.add_balancer(peer(1), at_ms(1_000));
+    let mut announcements = |milliseconds: u64| {
+        let actions = agent.tick(at_ms(milliseconds)).into_iter();
+        let to_peer = |action: &agent::Action| matches!(action, agent::Action::Announce { to, .. } if *to == peer(1));
+        let count = actions.filter(to_peer).count();
+        if milliseconds == 1_500 {
+            agent.on_balancer_hello(&balancer_hello(), peer(1), at_ms(milliseconds));
+        }
+        count
+    };
+    let before_reply: usize = (10..=15).map(|tick| announcements(tick * 100)).sum();
+    expect_that!(before_reply, eq(6));
+    let after_reply: usize = (16..=25).map(|tick| announcements(tick * 100)).sum();
+    expect_that!(after_reply, le(4));
+}
