Tell agents that failed from agents that start

Other registrations were stale because the store turned the agent away when it left, or because its VM had failed. A query also waited 240 ms for each agent that had left with its VM.

Change: an agent registers once its backend server runs, and removes the registration when the backend server departs, with retries, not only when it stops. Two balancers that rank first for a target mark its registration if they hear most agents, but not this one for 5 s; they take the mark back when they hear it again, and the agent does when it starts. A marked agent that a starting balancer doesn't hear within 0.5 s isn't waited for. A few agents that registered after the list don't matter. A query isn't repeated to silent agents without a backend server.

--- a/crates/lavenderseam_node/src/agent/driver.rs
+++ b/crates/lavenderseam_node/src/agent/driver.rs
@@ -15,6 +15,7 @@
 use lavenderseam_passthrough::message::{ForwardHeader, Message, ReturnHeader};
 use lavenderseam_passthrough::segment::Segment;
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
 
 use super::Directory;
 use crate::codec::PacketCodec;
@@ -49,6 +50,8 @@
     pub(crate) backend_socket: DatagramSocket,
     /// Address of the backend server, for liveness probes.
     pub(crate) backend_address: SocketAddrV4,
+    /// Wakes the task that maintains the registration, when the backend server departs or returns.
+    pub(crate) registration_changed: Notify,
     /// `true` while a liveness probe is running.
     pub(crate) is_probing: Cell<bool>,
 }
@@ -172,6 +175,7 @@
                 return false;
             }
         };
+        self.registration_changed.notify_one();
         self.process.log(&Event::BackendStateChanged {
             id: heartbeat.id.clone(),
             state: self.agent.borrow().target_state(),
@@ -186,6 +190,7 @@
     pub(crate) fn handle_deregistration(&self, id: &str) {
         let now = self.process.clock.now();
         if self.agent.borrow_mut().on_backend_departed(id, now) {
+            self.registration_changed.notify_one();
             self.report_backend_exit(id, "departed");
         }
     }
@@ -379,25 +384,42 @@
         }
     }
 
-    /// Registers the agent; retries until it succeeds.
-    pub(crate) async fn register(&self, directory: &impl Directory) {
+    /// Registers the agent once its backend server runs, and removes the registration once it has
+    /// departed, forever; retries what fails.
+    pub(crate) async fn maintain_registration(&self, directory: &impl Directory) {
         let mut delay = INITIAL_REGISTRATION_DELAY;
-        while let Err(error) = directory.register().await {
-            self.process.metrics.store_calls.inc();
-            self.record_store_error(&error);
-            tokio::time::sleep(delay).await;
-            delay = (delay * 2).min(MAX_REGISTRATION_DELAY);
+        loop {
+            let needs_update = {
+                let agent = self.agent.borrow();
+                agent.needs_registration() || agent.needs_deregistration()
+            };
+            if !needs_update {
+                delay = INITIAL_REGISTRATION_DELAY;
+                self.registration_changed.notified().await;
+            } else if !self.update_registration(directory).await {
+                tokio::time::sleep(delay).await;
+                delay = (delay * 2).min(MAX_REGISTRATION_DELAY);
+            }
         }
-        self.process.metrics.store_calls.inc();
-        self.agent.borrow_mut().set_registered();
     }
 
-    /// Removes the registration of the agent; logs a failure.
-    pub(crate) async fn deregister(&self, directory: &impl Directory) {
+    /// Registers the agent or removes its registration; logs a failure and returns `false`.
+    pub(crate) async fn update_registration(&self, directory: &impl Directory) -> bool {
         self.process.metrics.store_calls.inc();
-        if let Err(error) = directory.deregister().await {
+        // No flow may be admitted while the registration may be gone.
+        let was_registered = self.agent.borrow_mut().replace_registered(false);
+        let result = if was_registered {
+            directory.deregister().await
+        } else {
+            directory.register().await
+        };
+        let is_updated = result.is_ok();
+        if let Err(error) = result {
             self.record_store_error(&error);
         }
+        let registered = was_registered != is_updated;
+        self.agent.borrow_mut().replace_registered(registered);
+        is_updated
     }
 
     /// Counts and logs a failed request to the store.
--- a/crates/lavenderseam_node/src/agent/mod.rs
+++ b/crates/lavenderseam_node/src/agent/mod.rs
@@ -21,6 +21,7 @@
 use crate::socket::DatagramSocket;
 use crate::unix_signals::{SignalAction, SignalListener};
 use driver::Driver;
+use tokio::sync::Notify;
 
 /// Time for which an agent admits no flows unless it is registered: the store usually accepts a
 /// registration within milliseconds, and a target without registration serves callers as well.
@@ -122,6 +123,7 @@
         outbound_socket: DatagramSocket::bind(settings.outbound_address).await?,
         backend_socket: DatagramSocket::connect(any_port, settings.backend_address).await?,
         backend_address: settings.backend_address,
+        registration_changed: Notify::new(),
         is_probing: Cell::new(false),
     });
     http::serve(settings.readiness_address, driver::ReadinessService).await?;
@@ -144,7 +146,11 @@
     tokio::task::spawn_local(async move { task_driver.watch_backend_port().await });
     let directory = Rc::new(directory);
     let (task_driver, task_directory) = (Rc::clone(&driver), Rc::clone(&directory));
-    tokio::task::spawn_local(async move { task_driver.register(task_directory.as_ref()).await });
+    tokio::task::spawn_local(async move {
+        task_driver
+            .maintain_registration(task_directory.as_ref())
+            .await;
+    });
     let (task_driver, task_directory) = (Rc::clone(&driver), Rc::clone(&directory));
     tokio::task::spawn_local(async move {
         task_driver.run_ticks(TICK_INTERVAL, task_directory).await;
@@ -162,8 +168,9 @@
     // Flows terminate at the backend server on this VM, so no other agent can take them over.
     // Exiting at once lets the restarted agent take over sooner, which loses fewer packets.
     driver.process.log(&Event::Stop);
-    if driver.agent.borrow().has_departed() {
-        let deregistration = driver.deregister(directory.as_ref());
+    let needs_deregistration = driver.agent.borrow().needs_deregistration();
+    if needs_deregistration {
+        let deregistration = driver.update_registration(directory.as_ref());
         // The registration of a target that doesn't exist delays conclusions, but nothing else.
         let _ = tokio::time::timeout(DEREGISTRATION_TIMEOUT, deregistration).await;
     }
--- a/crates/lavenderseam_node/src/balancer/driver.rs
+++ b/crates/lavenderseam_node/src/balancer/driver.rs
@@ -12,11 +12,12 @@
 use lavenderseam_passthrough::balancer::{
     Action, Balancer, DiscardReason, Resolution, SearchAction, Verdict,
 };
+use lavenderseam_passthrough::desired::RegisteredAgent;
 use lavenderseam_passthrough::flow::Flow;
 use lavenderseam_passthrough::message::{Announcement, LocationReply, Message, ReturnHeader};
 use lavenderseam_passthrough::segment::Segment;
 
-use tokio::sync::{Notify, watch};
+use tokio::sync::{Notify, mpsc, watch};
 
 use super::held::HeldPackets;
 use super::records::{self, RecordKind, RecordSource};
@@ -48,6 +49,8 @@
     pub(crate) held_packets: RefCell<HeldPackets>,
     /// Wakes the task that runs the searches, after a packet has been held.
     pub(crate) search_started: Notify,
+    /// Reports about silent agents, to be written to the store.
+    pub(crate) silence_reports: mpsc::UnboundedSender<RegisteredAgent>,
     /// Readiness at the last update of the status.
     pub(crate) was_ready: Cell<bool>,
     /// `true` once a signal has requested shutdown.
@@ -417,6 +420,15 @@
             Action::SendHello { agent, hello } => {
                 self.process.send(&Message::Hello(hello), &[], agent);
             }
+            Action::ReportSilence { agent, is_silent } => {
+                self.process
+                    .log(&Event::SilenceReported { agent, is_silent });
+                // The receiver lives as long as the task that reads the records.
+                let _ = self.silence_reports.send(RegisteredAgent {
+                    address: agent,
+                    is_silent,
+                });
+            }
             Action::AgentExpired { agent } => self.process.log(&Event::AgentExpired { agent }),
         }
     }
--- a/crates/lavenderseam_node/src/balancer/mod.rs
+++ b/crates/lavenderseam_node/src/balancer/mod.rs
@@ -12,7 +12,8 @@
 use std::time::Duration;
 
 use lavenderseam_passthrough::balancer::{Balancer, Identity};
-use tokio::sync::{Notify, watch};
+use lavenderseam_passthrough::desired::RegisteredAgent;
+use tokio::sync::{Notify, mpsc, watch};
 
 use crate::codec::PacketCodec;
 use crate::http;
@@ -44,6 +45,9 @@
     pub grace_period: Duration,
 }
 
+/// Receiver of reports about agents that have become silent, or send messages again.
+pub type SilenceReceiver = mpsc::UnboundedReceiver<RegisteredAgent>;
+
 /// Handle to a running balancer, for the source of its records.
 #[derive(Debug)]
 pub struct Handle<C> {
@@ -52,7 +56,8 @@
 
 /// Runs a balancer until a signal stops it; must run within a `LocalSet`.
 ///
-/// `source` is spawned as a task that passes records to the balancer through the handle. `reload`
+/// `source` is spawned as a task that passes records to the balancer through the handle, and writes
+/// reports about silent agents to the store. `reload`
 /// reads the settings again and returns the new seeds, an error, or `None` if nothing has changed.
 ///
 /// # Errors
@@ -61,7 +66,7 @@
 pub async fn run<C, F, R, E>(
     settings: Settings,
     codec: C,
-    source: impl FnOnce(Handle<C>) -> F,
+    source: impl FnOnce(Handle<C>, SilenceReceiver) -> F,
     reload: R,
 ) -> io::Result<()>
 where
@@ -76,6 +81,7 @@
         address: settings.peer_address,
         rpc_address: settings.peer_address,
     };
+    let (silence_reports, silence_receiver) = mpsc::unbounded_channel();
     let driver = Rc::new(Driver {
         codec,
         process: ProcessContext::new(settings.name.clone(), settings.peer_address).await?,
@@ -84,6 +90,7 @@
         reset_buffer: RefCell::default(),
         held_packets: RefCell::default(),
         search_started: Notify::new(),
+        silence_reports,
         was_ready: Cell::new(false),
         is_stopping: Cell::new(false),
         store_answered_at: RefCell::default(),
@@ -109,7 +116,7 @@
     let handle = Handle {
         driver: Rc::clone(&driver),
     };
-    tokio::task::spawn_local(source(handle));
+    tokio::task::spawn_local(source(handle, silence_receiver));
     let task_driver = Rc::clone(&driver);
     tokio::task::spawn_local(async move { task_driver.receive_packets().await });
     let task_driver = Rc::clone(&driver);
--- a/crates/lavenderseam_node/src/balancer/records.rs
+++ b/crates/lavenderseam_node/src/balancer/records.rs
@@ -9,7 +9,7 @@
 use lavenderseam_core::catalog::{Epoch, Revision};
 use lavenderseam_core::time::Instant;
 use lavenderseam_passthrough::desired::{
-    CarriedOverDomains, DesiredState, OutOfServiceDomains, RegisteredBalancers,
+    CarriedOverDomains, DesiredState, OutOfServiceDomains, RegisteredAgent, RegisteredBalancers,
 };
 use lavenderseam_passthrough::message::TargetSnapshot;
 use serde::{Deserialize, Serialize};
@@ -302,7 +302,7 @@
     }
 
     /// Sets the agents that are registered in the store at a revision.
-    pub fn set_registered_agents(&self, agents: &[SocketAddrV4], revision: Revision) {
+    pub fn set_registered_agents(&self, agents: &[RegisteredAgent], revision: Revision) {
         let mut balancer = self.driver.balancer.borrow_mut();
         balancer.set_registered_agents(agents);
         drop(balancer);
--- a/crates/lavenderseam_node/src/log/event.rs
+++ b/crates/lavenderseam_node/src/log/event.rs
@@ -166,6 +166,15 @@
         /// Address of the agent.
         agent: SocketAddrV4,
     },
+    /// A balancer reports to the store whether an agent still sends messages.
+    #[serde(rename = "silence")]
+    SilenceReported {
+        /// Address of the agent.
+        agent: SocketAddrV4,
+        /// `true` if the agent has sent no message for some time.
+        #[serde(rename = "silent")]
+        is_silent: bool,
+    },
     /// A balancer can't forward a packet to a target.
     #[serde(rename = "packet")]
     UnroutablePacket {
@@ -347,6 +356,7 @@
             Self::RecordsListed { record, .. } => ("listed", *record),
             Self::Target { .. } => ("target", ""),
             Self::AgentExpired { .. } => ("forgot", ""),
+            Self::SilenceReported { .. } => ("silence", ""),
             Self::BackendStateChanged { reason, .. } => ("backend", *reason),
             Self::MalformedInput { source, .. } => ("malformed", *source),
             Self::SocketFailed { socket, .. } => ("socket", *socket),
--- a/crates/lavenderseam_passthrough/src/agent/mod.rs
+++ b/crates/lavenderseam_passthrough/src/agent/mod.rs
@@ -191,16 +191,24 @@
         }
     }
 
-    /// Records that the agent is registered.
-    pub const fn set_registered(&mut self) {
-        self.registered = true;
+    /// Records whether the agent is registered, and returns whether it was before.
+    pub const fn replace_registered(&mut self, registered: bool) -> bool {
+        std::mem::replace(&mut self.registered, registered)
     }
 
-    /// Returns `true` if the backend server has announced that it terminates, so that the
-    /// registration of the target is no longer needed.
+    /// Returns `true` if the agent must be registered.
+    ///
+    /// An agent that has heard from no backend server leaves its registration as it is: it may have
+    /// restarted beside a running one.
+    #[must_use]
+    pub const fn needs_registration(&self) -> bool {
+        !self.registered && self.backend.current_run().is_some()
+    }
+
+    /// Returns `true` if the registration of the agent must be removed.
     #[must_use]
-    pub const fn has_departed(&self) -> bool {
-        self.backend.has_departed()
+    pub const fn needs_deregistration(&self) -> bool {
+        self.registered && self.backend.has_departed()
     }
 
     /// Returns `true` if the agent may admit flows although a balancer that starts now may not know
--- a/crates/lavenderseam_passthrough/src/balancer/location.rs
+++ b/crates/lavenderseam_passthrough/src/balancer/location.rs
@@ -521,7 +521,13 @@
         let Some(query) = self.searches.queries.get_mut(&number) else {
             return;
         };
-        if query.transmissions >= max_transmissions {
+        // An agent without a backend server that doesn't respond has left with its VM.
+        let targets = &self.targets;
+        query.awaited.retain(|target| {
+            let target = targets.get(*target);
+            target.is_some_and(|target| target.state != TargetState::Ended)
+        });
+        if query.awaited.is_empty() || query.transmissions >= max_transmissions {
             return self.finish(number, now, actions);
         }
         query.transmissions += 1;
--- a/crates/lavenderseam_passthrough/src/balancer/mod.rs
+++ b/crates/lavenderseam_passthrough/src/balancer/mod.rs
@@ -15,21 +15,24 @@
 mod opening;
 mod out_of_service;
 mod peers;
+mod registrations;
 mod routes;
 mod search;
 mod settings;
+mod silence;
 mod target;
 mod targets;
 mod verdict;
 
-use std::collections::BTreeSet;
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
 use lavenderseam_core::catalog::Revision;
 use lavenderseam_core::time::Instant;
 
-use crate::desired::{CarriedOverDomains, DesiredState, OutOfServiceDomains, RegisteredBalancers};
+use crate::desired::{
+    CarriedOverDomains, DesiredState, OutOfServiceDomains, RegisteredAgent, RegisteredBalancers,
+};
 use crate::flow::Flow;
 use crate::message::{
     Announcement, AttemptedTargets, FlowConfirmation, ForwardHeader, Hello, MAX_ATTEMPTED_TARGETS,
@@ -41,8 +44,10 @@
 pub use location::{Resolution, SearchAction};
 use out_of_service::OutOfService;
 use peers::Peers;
+use registrations::Registrations;
 use routes::Routes;
 pub use settings::Settings;
+use silence::SilenceReports;
 pub use targets::TargetCounts;
 use targets::{AnnouncementEffect, Targets};
 pub use verdict::{DiscardReason, Verdict};
@@ -84,6 +89,13 @@
         /// Message to send to the agent.
         hello: Hello,
     },
+    /// Write to the store whether an agent still sends messages.
+    ReportSilence {
+        /// Address of the agent.
+        agent: SocketAddrV4,
+        /// `true` if the agent no longer sends messages.
+        is_silent: bool,
+    },
     /// Reports that a target was removed because its agent has sent no message for too long.
     AgentExpired {
         /// Address of the agent.
@@ -113,8 +125,8 @@
     searches: Searches,
     peers: Peers,
     last_gossip: Instant,
-    /// Targets whose agents were registered when the balancer started; `None` if this isn't known.
-    registered_targets: Option<BTreeSet<TargetId>>,
+    registrations: Registrations,
+    silence: SilenceReports,
     /// Time of the first tick, or of the first tick after the process was suspended.
     running_since: Option<Instant>,
     last_tick: Instant,
@@ -142,7 +154,8 @@
             searches: Searches::default(),
             peers: Peers::default(),
             last_gossip: Instant::default(),
-            registered_targets: None,
+            registrations: Registrations::default(),
+            silence: SilenceReports::default(),
             running_since: None,
             last_tick: Instant::default(),
             queue_delay: Duration::ZERO,
@@ -292,9 +305,8 @@
     }
 
     /// Sets the agents that were registered after this balancer had started.
-    pub fn set_registered_agents(&mut self, agents: &[SocketAddrV4]) {
-        let targets = agents.iter().copied().map(TargetId::new);
-        self.registered_targets = Some(targets.collect());
+    pub fn set_registered_agents(&mut self, agents: &[RegisteredAgent]) {
+        self.registrations = Registrations::new(agents);
     }
 
     /// Applies the set of balancers that have registered with the store.
@@ -310,15 +322,17 @@
             let was_suspended = self.running_since.replace(now).is_some();
             if was_suspended {
                 // Agents may have registered in the meantime.
-                self.registered_targets = None;
+                self.registrations = Registrations::default();
             }
         }
         self.last_tick = now;
         self.out_of_service.expire(now);
+        let reports = self.silence_reports(now);
         let expired = self.targets.remove_expired(self.settings.agent_expiry, now);
         let mut actions: Vec<_> = expired
             .into_iter()
             .map(|agent| Action::AgentExpired { agent })
+            .chain(reports)
             .collect();
         if now.since(self.last_gossip) >= self.settings.gossip_interval {
             self.last_gossip = now;
--- /dev/null
+++ b/crates/lavenderseam_passthrough/src/balancer/registrations.rs
@@ -0,0 +1,91 @@
+//! Agents that were registered in the store when the balancer started.
+//!
+//! They tell a balancer that has just started which agents it must hear from before it knows all
+//! targets. Without them it can only wait for long enough.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use lavenderseam_core::time::Instant;
+
+use super::Settings;
+use super::target::Target;
+use super::targets::Targets;
+use crate::desired::RegisteredAgent;
+use crate::message::TargetId;
+
+/// Registered agents, as listed once after the start.
+#[derive(Debug, Default)]
+pub(crate) struct Registrations {
+    /// Registered targets, with `true` if their agents were reported as silent; `None` if the
+    /// registrations aren't known.
+    targets: Option<BTreeMap<TargetId, bool>>,
+}
+
+/// What the registrations show about the targets that a balancer knows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Completeness {
+    /// The balancer has heard from all registered agents that may run.
+    Complete,
+    /// Few agents are missing, which may have failed, or many that have been heard aren't registered.
+    NearlyComplete,
+    /// Many agents are missing, because they are still starting.
+    Starting,
+}
+
+impl Registrations {
+    /// Indexes a list of registered agents.
+    pub(crate) fn new(agents: &[RegisteredAgent]) -> Self {
+        let targets = agents
+            .iter()
+            .map(|agent| (TargetId::new(agent.address), agent.is_silent));
+        Self {
+            targets: Some(targets.collect()),
+        }
+    }
+
+    /// Compares the known targets with the registrations, for a balancer that has been running
+    /// since `running_since`.
+    pub(crate) fn completeness(
+        &self,
+        known: &Targets,
+        settings: &Settings,
+        running_since: Instant,
+        now: Instant,
+    ) -> Completeness {
+        let Some(registered) = &self.targets else {
+            return Completeness::NearlyComplete;
+        };
+        let uptime = now.since(running_since);
+        let is_missing = |(id, is_silent): &(&TargetId, &bool)| {
+            let target = known.get(**id);
+            let is_heard = target.is_some_and(|target| target.has_sent_since(running_since));
+            let has_failed = **is_silent && uptime >= settings.min_uptime_with_silent_agents;
+            !is_heard && !has_failed
+        };
+        let missing = registered.iter().filter(is_missing).count();
+        let max_failed = registered.len().div_ceil(settings.targets_per_failed_agent);
+        if missing > max_failed {
+            return Completeness::Starting;
+        }
+        // A few agents may have registered since; agents of an earlier version never do.
+        let is_unregistered = |target: &&Target| !registered.contains_key(&target.id);
+        let unregistered = known.iter().filter(is_unregistered).count();
+        if missing == 0 && unregistered <= max_failed && !registered.is_empty() {
+            Completeness::Complete
+        } else {
+            Completeness::NearlyComplete
+        }
+    }
+}
+
+impl Completeness {
+    /// Returns the uptime after which a balancer knows all targets if another one agrees.
+    pub(crate) const fn min_uptime(self, settings: &Settings) -> Duration {
+        match self {
+            Self::Complete => Duration::ZERO,
+            Self::NearlyComplete => settings.min_uptime,
+            Self::Starting => settings.min_uptime_while_agents_start,
+        }
+    }
+}
--- a/crates/lavenderseam_passthrough/src/balancer/search.rs
+++ b/crates/lavenderseam_passthrough/src/balancer/search.rs
@@ -3,7 +3,7 @@
 use lavenderseam_core::time::Instant;
 
 use super::cache::{CacheEntry, OwnerState};
-use super::target::Target;
+use super::registrations::Completeness;
 use super::targets::FlowRequest;
 use super::{Balancer, DiscardReason, Verdict};
 use crate::flow::Flow;
@@ -167,41 +167,20 @@
 
     /// Returns `true` if the balancer knows every target.
     ///
-    /// This is certain once it has received a message from each registered agent, and from no
-    /// other. Otherwise the process must have run for some time, which is longer while many
+    /// This is certain once it has received a message from each registered agent that may run. Otherwise the process must have run for some time, which is longer while many
     /// registered agents are missing, and another balancer must have recently reported that it
     /// knows the same targets.
     pub(super) fn knows_all_targets(&self, now: Instant) -> bool {
         let Some(running_since) = self.running_since else {
             return false;
         };
-        let has_heard = |target: &TargetId| {
-            let target = self.targets.get(*target);
-            target.is_some_and(|target| target.has_sent_since(running_since))
-        };
-        let min_uptime = match &self.registered_targets {
-            None => self.settings.min_uptime,
-            Some(registered) => {
-                let is_registered = |target: &Target| registered.contains(&target.id);
-                let missing = registered
-                    .iter()
-                    .filter(|target| !has_heard(target))
-                    .count();
-                let max_failed = registered
-                    .len()
-                    .div_ceil(self.settings.targets_per_failed_agent);
-                if missing > max_failed {
-                    self.settings.min_uptime_while_agents_start
-                } else if missing > 0
-                    || registered.is_empty()
-                    || !self.targets.iter().all(is_registered)
-                {
-                    self.settings.min_uptime
-                } else {
-                    return true;
-                }
-            }
-        };
+        let completeness =
+            self.registrations
+                .completeness(&self.targets, &self.settings, running_since, now);
+        if completeness == Completeness::Complete {
+            return true;
+        }
+        let min_uptime = completeness.min_uptime(&self.settings);
         let uptime = now.since(running_since);
         let agreed = self
             .peers
--- a/crates/lavenderseam_passthrough/src/balancer/settings.rs
+++ b/crates/lavenderseam_passthrough/src/balancer/settings.rs
@@ -87,6 +87,13 @@
     /// Minimum uptime for the same conclusion if many registered agents have sent no message yet,
     /// because they are still starting.
     pub min_uptime_while_agents_start: Duration,
+    /// Minimum uptime before a registered agent that was reported as silent, and has sent no message
+    /// since the start, is taken to have failed: several intervals of announcements to a balancer
+    /// that doesn't reply.
+    pub min_uptime_with_silent_agents: Duration,
+    /// Time without a message after which an agent is reported as silent: longer than a restart of
+    /// its VM usually takes.
+    pub silence_report_after: Duration,
     /// Number of registered agents for each one that may have failed for good; more missing ones
     /// are taken to be starting.
     pub targets_per_failed_agent: usize,
@@ -137,6 +144,8 @@
             max_searches: 1 << 12,
             min_uptime: Duration::from_millis(1_200),
             min_uptime_while_agents_start: Duration::from_secs(3),
+            min_uptime_with_silent_agents: Duration::from_millis(500),
+            silence_report_after: Duration::from_secs(5),
             targets_per_failed_agent: 20,
             agreement_lifetime: Duration::from_secs(3),
             min_uptime_alone: Duration::from_secs(3),
--- a/crates/lavenderseam_passthrough/src/desired.rs
+++ b/crates/lavenderseam_passthrough/src/desired.rs
@@ -84,6 +84,16 @@
     pub balancers: BTreeSet<SocketAddrV4>,
 }
 
+/// Agent that is registered in the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RegisteredAgent {
+    /// Address at which the agent receives messages from other processes.
+    pub address: SocketAddrV4,
+    /// `true` if a balancer has reported that the agent no longer sends messages.
+    #[serde(default)]
+    pub is_silent: bool,
+}
+
 impl DesiredState {
     /// Returns `true` if this state replaces another one.
     ///
--- a/crates/lavenderseam_passthrough/tests/agent.rs
+++ b/crates/lavenderseam_passthrough/tests/agent.rs
@@ -14,7 +14,7 @@
 use googletest::prelude::*;
 use lavenderseam_core::catalog::Revision;
 use lavenderseam_passthrough::agent::{
-    Action, Agent, Identity, OutboundVerdict, RequestOutcome, Verdict,
+    Action, Agent, Identity, OutboundVerdict, RequestOutcome, Settings, Verdict,
 };
 use lavenderseam_passthrough::message::{Reason, ServiceId};
 use lavenderseam_passthrough::segment::{Flags, Segment};
@@ -258,3 +258,46 @@
     expect_that!(agent.target_load(at_ms(100)).busy_slots, eq(1));
     expect_that!(agent.target_load(at_ms(300)).busy_slots, eq(0));
 }
+
+/// Balancers that start know only registered agents, so that an agent serves no flow before it is
+/// registered, unless the store doesn't answer.
+#[gtest]
+fn agent_admits_no_flow_before_it_is_registered() {
+    let identity = Identity {
+        service: SERVICE.to_owned(),
+        domain: "a".to_owned(),
+        run_id: 1,
+    };
+    let settings = Settings {
+        registration_timeout: Duration::from_millis(300),
+        ..Settings::default()
+    };
+    let mut agent = Agent::with_settings(identity, settings);
+    agent.on_balancer_hello(&balancer_hello(), BALANCER, at_ms(0));
+    agent.tick(at_ms(0));
+    expect_that!(agent.needs_registration(), eq(false));
+    agent.on_heartbeat(&heartbeat(1), at_ms(10)).unwrap();
+    expect_that!(agent.needs_registration(), eq(true));
+    let refused = agent.on_forwarded_packet(&syn(1), header(), BALANCER, at_ms(20));
+    expect_that!(return_reason(&refused), some(eq(Reason::Unready)));
+    let mut without_store = agent.clone();
+    let late = without_store.on_forwarded_packet(&syn(1), header(), BALANCER, at_ms(300));
+    expect_that!(is_delivered(&late), eq(true));
+    agent.replace_registered(true);
+    expect_that!(agent.needs_registration(), eq(false));
+    let admitted = agent.on_forwarded_packet(&syn(2), header(), BALANCER, at_ms(30));
+    expect_that!(is_delivered(&admitted), eq(true));
+}
+
+#[gtest]
+fn agent_is_deregistered_once_its_backend_server_has_departed() {
+    let mut agent = agent();
+    agent.replace_registered(true);
+    expect_that!(agent.needs_deregistration(), eq(false));
+    agent.on_connection_refused(at_ms(10));
+    // The backend server has crashed and may return.
+    expect_that!(agent.needs_deregistration(), eq(false));
+    agent.on_heartbeat(&heartbeat(2), at_ms(20)).unwrap();
+    expect_that!(agent.on_backend_departed("b-1", at_ms(30)), eq(true));
+    expect_that!(agent.needs_deregistration(), eq(true));
+}
--- a/crates/lavenderseam_passthrough/tests/registered_targets.rs
+++ b/crates/lavenderseam_passthrough/tests/registered_targets.rs
@@ -4,10 +4,10 @@
 
 mod simulation;
 
-use std::net::SocketAddrV4;
 use std::time::Duration;
 
 use googletest::prelude::*;
+use lavenderseam_passthrough::desired::RegisteredAgent;
 use simulation::{Outcome, Simulation};
 
 const TARGETS: usize = 30;
@@ -28,7 +28,7 @@
 }
 
 /// Starts all balancers again, with the registrations of these nodes.
-fn restart_balancers(sim: &mut Simulation, registered: &[SocketAddrV4]) {
+fn restart_balancers(sim: &mut Simulation, registered: &[RegisteredAgent]) {
     for index in 0..sim.balancer_nodes.len() {
         sim.start_balancer(index);
         let balancer = sim.balancer_nodes[index].balancer.as_mut().unwrap();
@@ -36,8 +36,12 @@
     }
 }
 
-fn addresses(sim: &Simulation) -> Vec<SocketAddrV4> {
-    sim.target_nodes.iter().map(|node| node.address).collect()
+fn registrations(sim: &Simulation) -> Vec<RegisteredAgent> {
+    let registration = |node: &simulation::TargetNode| RegisteredAgent {
+        address: node.address,
+        is_silent: false,
+    };
+    sim.target_nodes.iter().map(registration).collect()
 }
 
 /// Everything stops and starts again at the same time. Callers whose flows are lost are reset as
@@ -49,7 +53,7 @@
         sim.target_nodes[node].backend.stop();
         sim.target_nodes[node].agent = None;
     }
-    let registered = addresses(&sim);
+    let registered = registrations(&sim);
     restart_balancers(&mut sim, &registered);
     for node in 0..TARGETS {
         sim.start_backend(node, Duration::ZERO);
@@ -62,6 +66,67 @@
     expect_that!(sim.resets_of_held_flows, is_empty());
 }
 
+/// A VM that failed before everything stopped was reported as silent, and isn't waited for.
+#[gtest]
+fn a_failed_agent_does_not_delay_resets() {
+    let mut sim = busy_service();
+    sim.target_nodes[0].backend.stop();
+    sim.target_nodes[0].agent = None;
+    sim.run_for(milliseconds(7_000));
+    let failed = sim.target_nodes[0].address;
+    expect_that!(sim.silent_agents, elements_are![eq(&failed)]);
+    for index in 0..CALLERS {
+        sim.send_request_to(index % 2, milliseconds(2_500));
+    }
+    sim.run_for(milliseconds(20));
+    let from = sim.callers.len() - CALLERS;
+    for node in 1..TARGETS {
+        sim.target_nodes[node].backend.stop();
+        sim.target_nodes[node].agent = None;
+    }
+    let mut registered = registrations(&sim);
+    registered[0].is_silent = true;
+    restart_balancers(&mut sim, &registered);
+    for node in 1..TARGETS {
+        sim.start_backend(node, Duration::ZERO);
+        sim.join(node);
+    }
+    sim.run_for(milliseconds(900));
+    let mut callers = sim.callers[from..].iter();
+    expect_that!(callers.all(|caller| caller.attempts > 1), eq(true));
+}
+
+/// An agent that was cut off for some time is no longer reported as silent once it is heard again.
+#[gtest]
+fn an_agent_that_is_heard_again_is_not_reported_any_more() {
+    let mut sim = busy_service();
+    let cut = sim.target_nodes[0].address;
+    for index in 0..2 {
+        let balancer = sim.balancer_nodes[index].address;
+        sim.cuts.insert((balancer, cut));
+    }
+    sim.run_for(milliseconds(6_000));
+    expect_that!(sim.silent_agents, elements_are![eq(&cut)]);
+    sim.cuts.clear();
+    sim.run_for(milliseconds(4_000));
+    expect_that!(sim.silent_agents, is_empty());
+}
+
+/// A balancer that is cut off from many agents reports none of them.
+#[gtest]
+fn a_balancer_that_is_cut_off_reports_no_silence() {
+    let mut sim = busy_service();
+    for index in 0..2 {
+        let balancer = sim.balancer_nodes[index].address;
+        for node in 0..TARGETS / 2 {
+            let agent = sim.target_nodes[node].address;
+            sim.cuts.insert((balancer, agent));
+        }
+    }
+    sim.run_for(milliseconds(8_000));
+    expect_that!(sim.silent_agents, is_empty());
+}
+
 /// A registered agent that starts later than the balancers may hold flows, so that the balancers
 /// conclude nothing before they have heard from it.
 #[gtest]
@@ -70,7 +135,7 @@
     for node in 0..TARGETS {
         sim.target_nodes[node].agent = None;
     }
-    let registered = addresses(&sim);
+    let registered = registrations(&sim);
     restart_balancers(&mut sim, &registered);
     for node in 0..TARGETS - 10 {
         sim.start_agent(node);
@@ -93,7 +158,7 @@
     for node in 0..TARGETS {
         sim.target_nodes[node].agent = None;
     }
-    let registered = addresses(&sim)[..5].to_vec();
+    let registered = registrations(&sim)[..5].to_vec();
     restart_balancers(&mut sim, &registered);
     for node in 0..10 {
         sim.start_agent(node);
--- a/crates/lavenderseam_passthrough/tests/simulation/mod.rs
+++ b/crates/lavenderseam_passthrough/tests/simulation/mod.rs
@@ -120,6 +120,8 @@
     pub one_way_cuts: BTreeSet<(SocketAddrV4, SocketAddrV4)>,
     /// Packets that agents have returned to balancers.
     pub returned: u64,
+    /// Agents that balancers have reported as silent.
+    pub silent_agents: BTreeSet<SocketAddrV4>,
     /// Location queries that balancers have sent.
     pub queries: u64,
     /// Messages that the search for the owners of open flows has cost, and their bytes.
@@ -153,6 +155,7 @@
             cuts: BTreeSet::new(),
             one_way_cuts: BTreeSet::new(),
             returned: 0,
+            silent_agents: BTreeSet::new(),
             queries: 0,
             search_cost: SearchCost::default(),
             loss_percent: 0,
@@ -442,6 +445,13 @@
                     balancer::Action::SendHello { agent, hello } => {
                         self.send(from, agent, Message::Hello(hello), None);
                     }
+                    balancer::Action::ReportSilence { agent, is_silent } => {
+                        if is_silent {
+                            self.silent_agents.insert(agent);
+                        } else {
+                            self.silent_agents.remove(&agent);
+                        }
+                    }
                     balancer::Action::AgentExpired { .. } => {}
                 }
             }
