Give up searches that wait for a caller that has gone

Cause: a search that had left a silent target undecided waited for the caller's next packet. If none came, it stayed, and after 4,096 such flows a balancer would have searched for no other.

Change: such a search ends after 10 s.

Test: location searches_of_gone_callers_end (3 searches are left without the change).

--- a/crates/lavenderseam_passthrough/src/balancer/location.rs
+++ b/crates/lavenderseam_passthrough/src/balancer/location.rs
@@ -87,6 +87,7 @@
     /// Acknowledgment of the flow's most recent packet, as in [`FlowProbe`].
     acknowledgment: Option<u32>,
     phase: Phase,
+    started_at: Instant,
 }
 
 /// Progress of a search.
@@ -197,6 +198,7 @@
         let search = Search {
             acknowledgment: acknowledgment(segment),
             phase: Phase::Waiting,
+            started_at: now,
         };
         self.by_flow.insert(segment.flow, search);
         true
@@ -215,6 +217,14 @@
         self.by_flow.remove(&flow);
     }
 
+    /// Removes searches that wait for another packet of their caller, which never came.
+    pub(super) fn expire(&mut self, max_age: Duration, now: Instant) {
+        self.by_flow.retain(|_, search| {
+            let waits_for_caller = matches!(search.phase, Phase::Visiting { .. });
+            !waits_for_caller || now.since(search.started_at) < max_age
+        });
+    }
+
     /// Returns the number of flows whose owner is being searched for.
     pub(super) fn len(&self) -> usize {
         self.by_flow.len()
--- a/crates/lavenderseam_passthrough/src/balancer/mod.rs
+++ b/crates/lavenderseam_passthrough/src/balancer/mod.rs
@@ -327,6 +327,7 @@
         }
         self.last_tick = now;
         self.out_of_service.expire(now);
+        self.searches.expire(self.settings.max_search_age, now);
         let reports = self.silence_reports(now);
         let expired = self.targets.remove_expired(self.settings.agent_expiry, now);
         let mut actions: Vec<_> = expired
--- a/crates/lavenderseam_passthrough/src/balancer/settings.rs
+++ b/crates/lavenderseam_passthrough/src/balancer/settings.rs
@@ -79,6 +79,9 @@
     /// Time for which packets of a flow that all known targets have denied are kept while the
     /// balancer may not know all targets: callers give up most requests within it.
     pub uncertain_timeout: Duration,
+    /// Time after which a search that waits for another packet of its caller is given up; callers
+    /// retransmit within 1.6 s.
+    pub max_search_age: Duration,
     /// Maximum number of flows whose owner is searched for at once.
     pub max_searches: usize,
     /// Minimum uptime of a balancer before it may conclude that no target holds a flow; agents that
@@ -141,6 +144,7 @@
             query_retry_interval: Duration::from_millis(60),
             max_query_transmissions: 4,
             uncertain_timeout: Duration::from_secs(2),
+            max_search_age: Duration::from_secs(10),
             max_searches: 1 << 12,
             min_uptime: Duration::from_millis(1_200),
             min_uptime_while_agents_start: Duration::from_secs(3),
--- a/crates/lavenderseam_passthrough/tests/location.rs
+++ b/crates/lavenderseam_passthrough/tests/location.rs
@@ -159,6 +159,17 @@
     expect_that!(sim.callers.iter().filter(answered).count(), ge(95));
 }
 
+/// A search for a flow whose caller has gone ends, although a silent target may hold the flow.
+#[gtest]
+fn searches_of_gone_callers_end() {
+    let mut sim = busy_service(30);
+    let cut = (sim.balancer_nodes[0].address, sim.target_nodes[0].address);
+    sim.cuts.insert(cut);
+    sim.run_for(Duration::from_secs(20));
+    let balancer = sim.balancer_nodes[0].balancer.as_ref().unwrap();
+    expect_that!(balancer.searched_flows(), eq(0));
+}
+
 /// A balancer that can't reach one target concludes nothing about flows that this target may hold,
 /// and still finds the flows of the others.
 #[gtest]
