Require the agreement of another balancer for early conclusions

Cause: while a fleet starts, the list of registered agents that a balancer reads may have few of them. Having heard those, it took itself for complete, although others had registered since and already held flows.

Change: a balancer that hears from an agent which its list lacks isn't complete, unless that agent has no backend server; and the early conclusion, too, needs another balancer that knows the same targets.

Test: flows_of_agents_that_registered_later_are_not_reset fails without the change.

The search's file is split: searches (state), location (queries), verification, conclusion, resolution. A packet that visits silent targets no longer carries a list of those visited, which could exceed a datagram.

--- /dev/null
+++ b/crates/lavenderseam_passthrough/src/balancer/conclusion.rs
@@ -0,0 +1,126 @@
+//! Ends of searches: an owner, a conclusion that there is none, or visits of silent targets.
+
+use lavenderseam_core::time::Instant;
+
+use super::cache::{CacheEntry, OwnerState};
+use super::searches::Phase;
+use super::{Balancer, DiscardReason, Resolution, SearchAction};
+use crate::flow::Flow;
+use crate::message::TargetId;
+
+impl Balancer {
+    /// Returns the next target to visit with a packet of a flow whose location query has ended
+    /// without an owner; `None` if no such search is in progress or no target is left.
+    ///
+    /// `is_unresponsive` tells whether the target visited before has left the packet unanswered.
+    pub(super) fn next_visit(&mut self, flow: Flow, is_unresponsive: bool) -> Option<TargetId> {
+        let search = self.searches.by_flow.get_mut(&flow)?;
+        let Phase::Visiting {
+            remaining,
+            is_undecided,
+        } = &mut search.phase
+        else {
+            return None;
+        };
+        *is_undecided |= is_unresponsive;
+        remaining.pop()
+    }
+
+    /// Ends the visits of a flow; returns `true` if certainly no target holds it.
+    pub(super) fn end_visits(&mut self, flow: Flow, now: Instant) -> bool {
+        let search = self.searches.by_flow.remove(&flow);
+        let has_denials = search.is_some_and(|search| {
+            matches!(
+                search.phase,
+                Phase::Visiting {
+                    is_undecided: false,
+                    ..
+                }
+            )
+        });
+        has_denials && self.knows_all_targets(now)
+    }
+
+    /// Records the owner of a flow that was searched for.
+    pub(super) fn confirm_owner(&mut self, flow: Flow, target: TargetId, now: Instant) {
+        self.searches.remove(flow);
+        let entry = CacheEntry {
+            target,
+            state: OwnerState::Confirmed,
+            first_sent: now,
+        };
+        self.cache.insert(flow, entry, now);
+    }
+
+    /// Goes on to visit the targets that haven't told whether they hold a flow, or ends the search
+    /// if there are none.
+    pub(super) fn visit_or_end(
+        &mut self,
+        flow: Flow,
+        remaining: Vec<TargetId>,
+        now: Instant,
+    ) -> Option<SearchAction> {
+        if remaining.is_empty() {
+            if self.knows_all_targets(now) {
+                let reset = Resolution::Reset(DiscardReason::Unowned);
+                return Some(self.end_search(flow, reset));
+            }
+            if let Some(search) = self.searches.by_flow.get_mut(&flow) {
+                search.phase = Phase::Uncertain { since: now };
+                self.searches.uncertain.push(flow);
+            }
+            return None;
+        }
+        if let Some(search) = self.searches.by_flow.get_mut(&flow) {
+            search.phase = Phase::Visiting {
+                remaining,
+                is_undecided: false,
+            };
+        }
+        Some(SearchAction::resolve(flow, Resolution::Resume))
+    }
+
+    /// Asks about uncertain flows again once this balancer knows all targets, and gives up those
+    /// that have waited for too long.
+    pub(super) fn reconsider_uncertain(&mut self, now: Instant, actions: &mut Vec<SearchAction>) {
+        if self.searches.uncertain.is_empty() {
+            return;
+        }
+        self.searches.uncertain_checked_at = now;
+        if self.knows_all_targets(now) {
+            for flow in std::mem::take(&mut self.searches.uncertain) {
+                self.searches.wait_for_query(flow);
+            }
+            return;
+        }
+        let timeout = self.settings.uncertain_timeout;
+        let uncertain = std::mem::take(&mut self.searches.uncertain);
+        for flow in uncertain {
+            let since = match self.searches.by_flow.get(&flow).map(|search| &search.phase) {
+                Some(Phase::Uncertain { since }) => *since,
+                _ => continue,
+            };
+            if now.since(since) < timeout {
+                self.searches.uncertain.push(flow);
+            } else {
+                let drop = Resolution::Drop(DiscardReason::Unowned);
+                actions.push(self.end_search(flow, drop));
+            }
+        }
+    }
+
+    /// Ends the search for a flow whose owner wasn't found, unless another packet of the flow has
+    /// found it in the meantime.
+    pub(super) fn end_search(&mut self, flow: Flow, resolution: Resolution) -> SearchAction {
+        self.searches.remove(flow);
+        let is_found = self.cache.get(flow).is_some();
+        SearchAction::resolve(
+            flow,
+            if is_found {
+                Resolution::Resume
+            } else {
+                resolution
+            },
+        )
+    }
+}
--- a/crates/lavenderseam_passthrough/src/balancer/mod.rs
+++ b/crates/lavenderseam_passthrough/src/balancer/mod.rs
@@ -11,18 +11,22 @@
 //! retransmission.
 
 mod cache;
+mod conclusion;
 mod location;
 mod opening;
 mod out_of_service;
 mod peers;
 mod registrations;
+mod resolution;
 mod routes;
 mod search;
+mod searches;
 mod settings;
 mod silence;
 mod target;
 mod targets;
 mod verdict;
+mod verification;
 
 use std::net::SocketAddrV4;
 use std::time::Duration;
@@ -40,12 +44,12 @@
 };
 use crate::segment::Segment;
 use cache::FlowCache;
-use location::Searches;
-pub use location::{Resolution, SearchAction};
 use out_of_service::OutOfService;
 use peers::Peers;
 use registrations::Registrations;
+pub use resolution::{Resolution, SearchAction};
 use routes::Routes;
+use searches::Searches;
 pub use settings::Settings;
 use silence::SilenceReports;
 pub use targets::TargetCounts;
--- a/crates/lavenderseam_passthrough/src/balancer/registrations.rs
+++ b/crates/lavenderseam_passthrough/src/balancer/registrations.rs
@@ -12,7 +12,7 @@
 use super::target::Target;
 use super::targets::Targets;
 use crate::desired::RegisteredAgent;
-use crate::message::TargetId;
+use crate::message::{TargetId, TargetState};
 
 /// Registered agents, as listed once after the start.
 #[derive(Debug, Default)]
@@ -27,7 +27,7 @@
 pub(crate) enum Completeness {
     /// The balancer has heard from all registered agents that may run.
     Complete,
-    /// Few agents are missing, which may have failed, or many that have been heard aren't registered.
+    /// Few agents are missing, which may have failed, or one that has been heard isn't registered.
     NearlyComplete,
     /// Many agents are missing, because they are still starting.
     Starting,
@@ -68,10 +68,12 @@
         if missing > max_failed {
             return Completeness::Starting;
         }
-        // A few agents may have registered since; agents of an earlier version never do.
-        let is_unregistered = |target: &&Target| !registered.contains_key(&target.id);
-        let unregistered = known.iter().filter(is_unregistered).count();
-        if missing == 0 && unregistered <= max_failed && !registered.is_empty() {
+        // Such an agent has registered since, as others may have that haven't been heard yet, or is
+        // of an earlier version. Agents without a backend server aren't registered.
+        let is_unregistered = |target: &Target| {
+            target.state != TargetState::Ended && !registered.contains_key(&target.id)
+        };
+        if missing == 0 && !known.iter().any(is_unregistered) && !registered.is_empty() {
             Completeness::Complete
         } else {
             Completeness::NearlyComplete
--- a/crates/lavenderseam_passthrough/src/balancer/search.rs
+++ b/crates/lavenderseam_passthrough/src/balancer/search.rs
@@ -3,7 +3,6 @@
 use lavenderseam_core::time::Instant;
 
 use super::cache::{CacheEntry, OwnerState};
-use super::registrations::Completeness;
 use super::targets::FlowRequest;
 use super::{Balancer, DiscardReason, Verdict};
 use crate::flow::Flow;
@@ -106,7 +105,8 @@
         let is_unresponsive = !attempted.unresponsive.is_empty();
         while let Some(target) = self.next_visit(flow, is_unresponsive) {
             if self.targets.get(target).is_some() {
-                return self.visit(segment, target, attempted, now);
+                // The search remembers which targets are left, so that the packet needn't.
+                return self.visit(segment, target, &AttemptedTargets::default(), now);
             }
         }
         self.cache.remove(flow);
@@ -167,9 +167,9 @@
 
     /// Returns `true` if the balancer knows every target.
     ///
-    /// This is certain once it has received a message from each registered agent that may run. Otherwise the process must have run for some time, which is longer while many
-    /// registered agents are missing, and another balancer must have recently reported that it
-    /// knows the same targets.
+    /// Another balancer must have reported recently that it knows the same targets. Besides, the
+    /// balancer must have received a message from each registered agent that may run, or the process
+    /// must have run for some time, which is longer while many registered agents are missing.
     pub(super) fn knows_all_targets(&self, now: Instant) -> bool {
         let Some(running_since) = self.running_since else {
             return false;
@@ -177,9 +177,6 @@
         let completeness =
             self.registrations
                 .completeness(&self.targets, &self.settings, running_since, now);
-        if completeness == Completeness::Complete {
-            return true;
-        }
         let min_uptime = completeness.min_uptime(&self.settings);
         let uptime = now.since(running_since);
         let agreed = self
--- a/crates/lavenderseam_passthrough/tests/registered_targets.rs
+++ b/crates/lavenderseam_passthrough/tests/registered_targets.rs
@@ -151,6 +151,27 @@
     }
 }
 
+/// While a fleet starts, a list may have few of the agents. Another balancer knows more of them, so
+/// that their flows are not taken for unowned.
+#[gtest]
+fn flows_of_agents_that_registered_later_are_not_reset() {
+    let mut sim = busy_service();
+    let registered = registrations(&sim)[..5].to_vec();
+    let balancer = sim.balancer_nodes[1].address;
+    for node in 5..TARGETS {
+        let agent = sim.target_nodes[node].address;
+        sim.cuts.insert((balancer, agent));
+    }
+    sim.start_balancer(1);
+    let restarted = sim.balancer_nodes[1].balancer.as_mut().unwrap();
+    restarted.set_registered_agents(&registered);
+    for caller in &mut sim.callers {
+        caller.balancer = 1;
+    }
+    sim.run_for(milliseconds(1_000));
+    expect_that!(sim.resets_of_held_flows, is_empty());
+}
+
 /// Agents of an earlier version don't register. A list without them proves nothing.
 #[gtest]
 fn agents_without_registration_are_waited_for() {
