Count the wait for a registration from when it is needed

Found in the read-through: the 0.3 s for which an agent admits no flow without a registration began with the agent, so that they had passed before a backend server that starts later was heard. They begin with its first heartbeat now. And a backend server that sends a heartbeat after its notice of departure has not departed: its agent keeps the registration if it crashes later.

Tests: agent_admits_no_flow_before_it_is_registered, agent_is_deregistered_once_its_backend_server_has_departed; both fail without the change.

--- a/crates/lavenderseam_passthrough/src/agent/backend.rs
+++ b/crates/lavenderseam_passthrough/src/agent/backend.rs
@@ -245,6 +245,7 @@
         self.draining = heartbeat.draining;
         self.slots = heartbeat.slots.max(1);
         self.warm_at = now + heartbeat.cold_remaining;
+        self.departed = false;
     }
 
     /// Returns `true` if the backend server is draining.
--- a/crates/lavenderseam_passthrough/src/agent/mod.rs
+++ b/crates/lavenderseam_passthrough/src/agent/mod.rs
@@ -143,8 +143,8 @@
     penalties: FailurePenalties,
     /// `true` once the agent is registered, so that balancers that start know of its target.
     registered: bool,
-    /// Time of the first tick.
-    started_at: Option<Instant>,
+    /// Time since which the agent should have been registered.
+    unregistered_since: Option<Instant>,
 }
 
 /// Limits of the service, as received from balancers.
@@ -187,7 +187,7 @@
             response_time: ResponseTime::default(),
             penalties: FailurePenalties::default(),
             registered: false,
-            started_at: None,
+            unregistered_since: None,
         }
     }
 
@@ -214,7 +214,7 @@
     /// Returns `true` if the agent may admit flows although a balancer that starts now may not know
     /// of its target.
     fn may_admit_unregistered(&self, now: Instant) -> bool {
-        let waited = self.started_at.map(|started_at| now.since(started_at));
+        let waited = self.unregistered_since.map(|since| now.since(since));
         waited.unwrap_or_default() >= self.settings.registration_timeout
     }
 
@@ -376,6 +376,9 @@
                 if replaces {
                     self.end_all_flows(now);
                 }
+                if !self.registered {
+                    self.unregistered_since = Some(now);
+                }
                 self.announce_to_all = true;
                 self.cold_start.clear();
                 self.liveness = BackendLiveness::default();
@@ -433,7 +436,6 @@
 
     /// Advances timers and returns the actions that are due; to be called several times per second.
     pub fn tick(&mut self, now: Instant) -> Vec<Action> {
-        self.started_at.get_or_insert(now);
         self.flows.expire(&self.settings, now);
         let retention = self.settings.ended_flow_retention;
         self.ended_flows
--- a/crates/lavenderseam_passthrough/tests/agent.rs
+++ b/crates/lavenderseam_passthrough/tests/agent.rs
@@ -276,16 +276,17 @@
     agent.on_balancer_hello(&balancer_hello(), BALANCER, at_ms(0));
     agent.tick(at_ms(0));
     expect_that!(agent.needs_registration(), eq(false));
-    agent.on_heartbeat(&heartbeat(1), at_ms(10)).unwrap();
+    // The backend server starts some time after the agent.
+    agent.on_heartbeat(&heartbeat(1), at_ms(2_000)).unwrap();
     expect_that!(agent.needs_registration(), eq(true));
-    let refused = agent.on_forwarded_packet(&syn(1), header(), BALANCER, at_ms(20));
+    let refused = agent.on_forwarded_packet(&syn(1), header(), BALANCER, at_ms(2_010));
     expect_that!(return_reason(&refused), some(eq(Reason::Unready)));
     let mut without_store = agent.clone();
-    let late = without_store.on_forwarded_packet(&syn(1), header(), BALANCER, at_ms(300));
+    let late = without_store.on_forwarded_packet(&syn(1), header(), BALANCER, at_ms(2_300));
     expect_that!(is_delivered(&late), eq(true));
     agent.replace_registered(true);
     expect_that!(agent.needs_registration(), eq(false));
-    let admitted = agent.on_forwarded_packet(&syn(2), header(), BALANCER, at_ms(30));
+    let admitted = agent.on_forwarded_packet(&syn(2), header(), BALANCER, at_ms(2_020));
     expect_that!(is_delivered(&admitted), eq(true));
 }
 
@@ -300,4 +301,8 @@
     agent.on_heartbeat(&heartbeat(2), at_ms(20)).unwrap();
     expect_that!(agent.on_backend_departed("b-1", at_ms(30)), eq(true));
     expect_that!(agent.needs_deregistration(), eq(true));
+    // A heartbeat that was sent before shows that it still runs.
+    agent.on_heartbeat(&heartbeat(3), at_ms(40)).unwrap();
+    agent.on_connection_refused(at_ms(50));
+    expect_that!(agent.needs_deregistration(), eq(false));
 }
