Let an agent deny no flows of a backend server that runs on after all

Cause: evidence that a backend server has exited can be wrong, such as a late error of a socket. The next heartbeat of the same run revived it, but the agent went on as if it had seen all of its flows, so it denied those that it had just removed, or reported them as ended, and balancers reset them.

Change: such a run may hold flows that the agent doesn't know. Its packets are delivered and bounced by the backend server, and no flow is reported as ended. The log names the change as 'resumed'.

--- a/crates/lavenderseam_node/src/agent/driver.rs
+++ b/crates/lavenderseam_node/src/agent/driver.rs
@@ -164,6 +164,7 @@
         let reason = match outcome {
             Ok(HeartbeatEffect::Unchanged) => return true,
             Ok(HeartbeatEffect::StateChanged) => "changed",
+            Ok(HeartbeatEffect::Resumed) => "resumed",
             Ok(HeartbeatEffect::NewRun {
                 replaces_running: false,
             }) => "started",
--- a/crates/lavenderseam_passthrough/src/agent/backend.rs
+++ b/crates/lavenderseam_passthrough/src/agent/backend.rs
@@ -75,6 +75,8 @@
     Unchanged,
     /// The known run continues, and the state of the target has changed.
     StateChanged,
+    /// The known run continues, although it was taken to have terminated.
+    Resumed,
     /// A new run has started.
     NewRun {
         /// `true` if the new run replaces a run that was still considered alive.
@@ -139,8 +141,10 @@
             let state_changed = run.draining != heartbeat.draining;
             run.refresh(heartbeat, now);
             if let Self::Terminated(run) = self {
+                // The evidence of its end was wrong, so that it still holds its flows.
+                run.all_flows_seen = false;
                 *self = Self::Running(run.clone());
-                return Ok(HeartbeatEffect::StateChanged);
+                return Ok(HeartbeatEffect::Resumed);
             }
             return Ok(if state_changed {
                 HeartbeatEffect::StateChanged
--- a/crates/lavenderseam_passthrough/src/agent/mod.rs
+++ b/crates/lavenderseam_passthrough/src/agent/mod.rs
@@ -370,6 +370,10 @@
         match outcome {
             HeartbeatEffect::Unchanged => {}
             HeartbeatEffect::StateChanged => self.announce_to_all = true,
+            HeartbeatEffect::Resumed => {
+                self.ended_flows.clear();
+                self.announce_to_all = true;
+            }
             HeartbeatEffect::NewRun {
                 replaces_running: replaces,
             } => {
--- a/crates/lavenderseam_passthrough/tests/agent_backend.rs
+++ b/crates/lavenderseam_passthrough/tests/agent_backend.rs
@@ -120,11 +120,23 @@
     agent.on_connection_refused(at_ms(10));
     expect_that!(
         agent.on_heartbeat(&heartbeat(2), at_ms(800)),
-        ok(eq(&HeartbeatEffect::StateChanged))
+        ok(eq(&HeartbeatEffect::Resumed))
     );
     expect_that!(agent.target_state(), eq(TargetState::Ready));
 }
 
+/// The evidence that a backend server has exited may be wrong, such as a late error of a socket. Its
+/// flows are still open then, so that the agent may neither deny them nor report them as ended.
+#[gtest]
+fn a_revived_run_may_hold_the_flows_that_it_held_before() {
+    let mut agent = agent();
+    open_with_request(&mut agent, 1, at_ms(5));
+    agent.on_connection_refused(at_ms(10));
+    agent.on_heartbeat(&heartbeat(2), at_ms(800)).unwrap();
+    let verdict = agent.on_forwarded_packet(&request(1, 901), header(), BALANCER, at_ms(810));
+    expect_that!(is_delivered(&verdict), eq(true));
+}
+
 #[gtest]
 fn bounced_syn_is_returned_to_balancer() {
     let mut agent = agent();
