Conclude that a flow is unowned only from denials of all targets known now

The early conclusion itself wasn't at fault: with a least uptime the sets could differ as well.

Change: a search remembers how often the set of targets had grown when its query was sent; if it has grown since, the flow is asked about again, to the new ones as well. Further premises of the class: - an agreement of another balancer counts only for the digest of the targets known now; - a balancer that has just started names no digest until it has heard all registered agents or has run for 1.2 s, and then at once; - the first number of a run's queries depends on the time, so that late answers to an earlier run aren't taken for its own; - a mark of a silent agent is removed by a balancer that started since and hears the agent. Each reset for this cause logs the premises with their ages.

--- a/crates/lavenderseam_node/src/balancer/driver.rs
+++ b/crates/lavenderseam_node/src/balancer/driver.rs
@@ -295,6 +295,7 @@
                     .into(),
                 disabled_domains: balancer.out_of_service_domains().revision.number(),
                 targets: balancer.count_targets(segment.flow, now),
+                premises: (reason == DiscardReason::Unowned).then(|| balancer.premises(now)),
             }
         };
         self.process
--- a/crates/lavenderseam_node/src/log/event.rs
+++ b/crates/lavenderseam_node/src/log/event.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddrV4;
 
 use lavenderseam_core::catalog::{Epoch, Revision};
-use lavenderseam_passthrough::balancer::{DiscardReason, TargetCounts};
+use lavenderseam_passthrough::balancer::{DiscardReason, Premises, TargetCounts};
 use lavenderseam_passthrough::desired::ServiceLimits;
 use lavenderseam_passthrough::flow::Flow;
 use lavenderseam_passthrough::message::{AttemptedTargets, Load, Reason, TargetState};
@@ -197,6 +197,9 @@
         disabled_domains: u64,
         /// Summary of the service's targets, as this balancer knows them.
         targets: TargetCounts,
+        /// What the conclusion rests on that no target holds the flow; `None` for other causes.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        premises: Option<Premises>,
     },
     /// A balancer has received a packet that an agent returned undelivered.
     #[serde(rename = "returned")]
--- a/crates/lavenderseam_passthrough/src/balancer/conclusion.rs
+++ b/crates/lavenderseam_passthrough/src/balancer/conclusion.rs
@@ -8,6 +8,17 @@
 use crate::flow::Flow;
 use crate::message::TargetId;
 
+/// Result of the visits of the targets that a location query has left undecided.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum VisitEnd {
+    /// Certainly no target holds the flow.
+    Unowned,
+    /// A target that hasn't answered, or isn't known to this balancer, may hold the flow.
+    Undecided,
+    /// Targets have become known that weren't asked, so the flow is part of the next queries.
+    AskAgain,
+}
+
 impl Balancer {
     /// Returns the next target to visit with a packet of a flow whose location query has ended
     /// without an owner; `None` if no such search is in progress or no target is left.
@@ -26,10 +37,9 @@
         remaining.pop()
     }
 
-    /// Ends the visits of a flow; returns `true` if certainly no target holds it.
-    pub(super) fn end_visits(&mut self, flow: Flow, now: Instant) -> bool {
-        let search = self.searches.by_flow.remove(&flow);
-        let has_denials = search.is_some_and(|search| {
+    /// Ends the visits of a flow.
+    pub(super) fn end_visits(&mut self, flow: Flow, now: Instant) -> VisitEnd {
+        let denied_by_all = self.searches.by_flow.get(&flow).is_some_and(|search| {
             matches!(
                 search.phase,
                 Phase::Visiting {
@@ -38,7 +48,23 @@
                 }
             )
         });
-        has_denials && self.knows_all_targets(now)
+        if denied_by_all && !self.covers_all_targets(flow) {
+            self.searches.wait_for_query(flow);
+            return VisitEnd::AskAgain;
+        }
+        self.searches.remove(flow);
+        if denied_by_all && self.knows_all_targets(now) {
+            VisitEnd::Unowned
+        } else {
+            VisitEnd::Undecided
+        }
+    }
+
+    /// Returns `true` if the last query about a flow was sent to all targets known now that may hold
+    /// flows.
+    fn covers_all_targets(&self, flow: Flow) -> bool {
+        let search = self.searches.by_flow.get(&flow);
+        search.is_some_and(|search| search.additions == self.targets.additions())
     }
 
     /// Records the owner of a flow that was searched for.
@@ -61,6 +87,10 @@
         now: Instant,
     ) -> Option<SearchAction> {
         if remaining.is_empty() {
+            if !self.covers_all_targets(flow) {
+                self.searches.wait_for_query(flow);
+                return None;
+            }
             if self.knows_all_targets(now) {
                 let reset = Resolution::Reset(DiscardReason::Unowned);
                 return Some(self.end_search(flow, reset));
--- a/crates/lavenderseam_passthrough/src/balancer/location.rs
+++ b/crates/lavenderseam_passthrough/src/balancer/location.rs
@@ -135,10 +135,10 @@
     }
 
     fn send_query(&mut self, flows: Vec<Flow>, now: Instant, actions: &mut Vec<SearchAction>) {
-        self.searches.last_number = self.searches.last_number.wrapping_add(1);
-        let number = self.searches.last_number;
+        let number = self.searches.next_number(now);
         for flow in &flows {
             if let Some(search) = self.searches.by_flow.get_mut(flow) {
+                search.additions = self.targets.additions();
                 search.phase = Phase::Asked {
                     query: number,
                     unverified: Vec::new(),
--- a/crates/lavenderseam_passthrough/src/balancer/mod.rs
+++ b/crates/lavenderseam_passthrough/src/balancer/mod.rs
@@ -11,6 +11,7 @@
 //! retransmission.
 
 mod cache;
+mod certainty;
 mod conclusion;
 mod location;
 mod opening;
@@ -39,11 +40,13 @@
 };
 use crate::flow::Flow;
 use crate::message::{
-    Announcement, AttemptedTargets, FlowConfirmation, ForwardHeader, Hello, MAX_ATTEMPTED_TARGETS,
-    Reason, RecordVersions, ReturnHeader, ServiceId, TargetId, TargetSnapshot,
+    Announcement, AttemptedTargets, FlowConfirmation, ForwardHeader, Hello, INCOMPLETE_TARGETS,
+    MAX_ATTEMPTED_TARGETS, Reason, RecordVersions, ReturnHeader, ServiceId, TargetId,
+    TargetSnapshot,
 };
 use crate::segment::Segment;
 use cache::FlowCache;
+pub use certainty::Premises;
 use out_of_service::OutOfService;
 use peers::Peers;
 use registrations::Registrations;
@@ -129,6 +132,8 @@
     searches: Searches,
     peers: Peers,
     last_gossip: Instant,
+    /// `true` if the last gossip told the others which targets are known here.
+    offered_targets: bool,
     registrations: Registrations,
     silence: SilenceReports,
     /// Time of the first tick, or of the first tick after the process was suspended.
@@ -158,6 +163,7 @@
             searches: Searches::default(),
             peers: Peers::default(),
             last_gossip: Instant::default(),
+            offered_targets: false,
             registrations: Registrations::default(),
             silence: SilenceReports::default(),
             running_since: None,
@@ -257,8 +263,8 @@
     pub fn on_gossip(&mut self, gossip: &RecordVersions, from: SocketAddrV4, now: Instant) {
         self.peers
             .on_gossip(from, gossip, self.identity.address, now);
-        let local = self.gossip();
-        self.peers.compare_records(gossip, &local, now);
+        let own = self.gossip();
+        self.peers.compare_records(gossip, &own, now);
     }
 
     /// Adds the address of another balancer.
@@ -311,6 +317,7 @@
     /// Sets the agents that were registered after this balancer had started.
     pub fn set_registered_agents(&mut self, agents: &[RegisteredAgent]) {
         self.registrations = Registrations::new(agents);
+        self.silence.set_registered(agents);
     }
 
     /// Applies the set of balancers that have registered with the store.
@@ -332,6 +339,8 @@
         self.last_tick = now;
         self.out_of_service.expire(now);
         self.searches.expire(self.settings.max_search_age, now);
+        let digest_lifetime = self.settings.agreement_lifetime;
+        self.peers.expire_digests(digest_lifetime, now);
         let reports = self.silence_reports(now);
         let expired = self.targets.remove_expired(self.settings.agent_expiry, now);
         let mut actions: Vec<_> = expired
@@ -339,10 +348,18 @@
             .map(|agent| Action::AgentExpired { agent })
             .chain(reports)
             .collect();
-        if now.since(self.last_gossip) >= self.settings.gossip_interval {
+        // The others wait for the agreement of balancers that know all targets.
+        let offers_targets = self.offers_targets(now);
+        let is_new_offer = offers_targets && !self.offered_targets;
+        self.offered_targets = offers_targets;
+        let interval_elapsed = now.since(self.last_gossip) >= self.settings.gossip_interval;
+        if interval_elapsed || is_new_offer {
             self.last_gossip = now;
             actions.extend(self.introductions());
-            let gossip = self.gossip();
+            let mut gossip = self.gossip();
+            if !offers_targets {
+                gossip.targets_digest = INCOMPLETE_TARGETS;
+            }
             for to in self.peers.next_gossip_peers(self.identity.address, now) {
                 let gossip = gossip.clone();
                 actions.push(Action::Gossip { to, gossip });
@@ -454,6 +471,7 @@
             .map_or(Revision::default(), |desired_state| desired_state.revision)
     }
 
+    /// Returns the versions of all records held here.
     fn gossip(&self) -> RecordVersions {
         RecordVersions {
             desired_revision: self.revision(),
--- a/crates/lavenderseam_passthrough/src/balancer/peers.rs
+++ b/crates/lavenderseam_passthrough/src/balancer/peers.rs
@@ -6,7 +6,7 @@
 
 use lavenderseam_core::time::Instant;
 
-use crate::message::RecordVersions;
+use crate::message::{INCOMPLETE_TARGETS, RecordVersions};
 
 /// Balancers that each round of gossip is sent to, in rotation: enough that a change reaches all
 /// balancers of a small fleet in one round, with a constant cost per round at any size.
@@ -25,7 +25,9 @@
     newcomers: BTreeSet<SocketAddrV4>,
     last_gossip: Option<Instant>,
     divergent: Option<DivergentPeer>,
-    last_agreement: Option<Instant>,
+    /// Digests of the targets that other balancers know, with the time of the last gossip that
+    /// named each.
+    digests: BTreeMap<u64, Instant>,
 }
 
 /// A balancer whose records differ from those held here.
@@ -80,9 +82,13 @@
             || gossip.out_domains_revision > own.out_domains_revision;
         // After a restore of the store, the newer version may be in the older epoch.
         let other_epoch = gossip.desired_revision.epoch() != own.desired_revision.epoch();
-        let differs = newer || other_epoch || gossip.targets_digest != own.targets_digest;
+        let digest = gossip.targets_digest;
+        let knows_other_targets = digest != INCOMPLETE_TARGETS && digest != own.targets_digest;
+        if digest != INCOMPLETE_TARGETS {
+            self.digests.insert(digest, now);
+        }
+        let differs = newer || other_epoch || knows_other_targets;
         if !differs {
-            self.last_agreement = Some(now);
             self.divergent
                 .take_if(|divergent| Some(divergent.rpc) == gossip.rpc_address);
         } else if let Some(rpc) = gossip.rpc_address {
@@ -101,9 +107,15 @@
         Some(divergent.rpc)
     }
 
-    /// Returns the time at which another balancer last held the same records.
-    pub(crate) const fn last_agreement(&self) -> Option<Instant> {
-        self.last_agreement
+    /// Returns the time of the last gossip of a balancer that knows all targets, and whose targets
+    /// have this digest.
+    pub(crate) fn last_agreement(&self, targets_digest: u64) -> Option<Instant> {
+        self.digests.get(&targets_digest).copied()
+    }
+
+    /// Removes digests that were last named `max_age` ago.
+    pub(crate) fn expire_digests(&mut self, max_age: Duration, now: Instant) {
+        self.digests.retain(|_, at| now.since(*at) < max_age);
     }
 
     /// Returns the time at which the last gossip of another balancer arrived.
--- a/crates/lavenderseam_passthrough/src/balancer/registrations.rs
+++ b/crates/lavenderseam_passthrough/src/balancer/registrations.rs
@@ -22,6 +22,18 @@
     targets: Option<BTreeMap<TargetId, bool>>,
 }
 
+/// Registered agents, counted by whether a balancer has heard from them.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct Heard {
+    /// All registered agents.
+    pub(crate) registered: usize,
+    /// Agents that haven't been heard and may run.
+    pub(crate) missing: usize,
+    /// Agents that haven't been heard and are taken to have failed, because they were reported as
+    /// silent.
+    pub(crate) silent: usize,
+}
+
 /// What the registrations show about the targets that a balancer knows.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Completeness {
@@ -44,6 +56,35 @@
         }
     }
 
+    /// Counts the registered agents by whether a balancer that has been running since
+    /// `running_since` has heard from them; `None` if the registrations aren't known.
+    pub(crate) fn heard(
+        &self,
+        known: &Targets,
+        settings: &Settings,
+        running_since: Instant,
+        now: Instant,
+    ) -> Option<Heard> {
+        let registered = self.targets.as_ref()?;
+        let marks_count = now.since(running_since) >= settings.min_uptime_with_silent_agents;
+        let is_heard = |id: TargetId| {
+            let target = known.get(id);
+            target.is_some_and(|target| target.has_sent_since(running_since))
+        };
+        let mut heard = Heard {
+            registered: registered.len(),
+            ..Heard::default()
+        };
+        for (id, is_silent) in registered {
+            match (is_heard(*id), *is_silent && marks_count) {
+                (true, _) => {}
+                (false, true) => heard.silent += 1,
+                (false, false) => heard.missing += 1,
+            }
+        }
+        Some(heard)
+    }
+
     /// Compares the known targets with the registrations, for a balancer that has been running
     /// since `running_since`.
     pub(crate) fn completeness(
@@ -53,17 +94,13 @@
         running_since: Instant,
         now: Instant,
     ) -> Completeness {
-        let Some(registered) = &self.targets else {
+        let (Some(registered), Some(heard)) = (
+            &self.targets,
+            self.heard(known, settings, running_since, now),
+        ) else {
             return Completeness::NearlyComplete;
         };
-        let uptime = now.since(running_since);
-        let is_missing = |(id, is_silent): &(&TargetId, &bool)| {
-            let target = known.get(**id);
-            let is_heard = target.is_some_and(|target| target.has_sent_since(running_since));
-            let has_failed = **is_silent && uptime >= settings.min_uptime_with_silent_agents;
-            !is_heard && !has_failed
-        };
-        let missing = registered.iter().filter(is_missing).count();
+        let missing = heard.missing;
         let max_failed = registered.len().div_ceil(settings.targets_per_failed_agent);
         if missing > max_failed {
             return Completeness::Starting;
--- a/crates/lavenderseam_passthrough/src/balancer/search.rs
+++ b/crates/lavenderseam_passthrough/src/balancer/search.rs
@@ -3,6 +3,7 @@
 use lavenderseam_core::time::Instant;
 
 use super::cache::{CacheEntry, OwnerState};
+use super::conclusion::VisitEnd;
 use super::targets::FlowRequest;
 use super::{Balancer, DiscardReason, Verdict};
 use crate::flow::Flow;
@@ -110,10 +111,13 @@
             }
         }
         self.cache.remove(flow);
-        if self.end_visits(flow, now) && !segment.flags.rst {
-            Verdict::Reset(DiscardReason::Unowned)
-        } else {
-            Verdict::Drop(DiscardReason::Unowned)
+        match self.end_visits(flow, now) {
+            VisitEnd::Unowned if !segment.flags.rst => Verdict::Reset(DiscardReason::Unowned),
+            VisitEnd::Unowned | VisitEnd::Undecided => Verdict::Drop(DiscardReason::Unowned),
+            VisitEnd::AskAgain => {
+                self.searches.on_packet(segment);
+                Verdict::Hold
+            }
         }
     }
 
@@ -155,36 +159,4 @@
             self.targets.next_candidate(&request, &self.settings, now)
         })
     }
-
-    /// Returns `true` if targets may still announce themselves for the first time.
-    pub(super) fn is_starting(&self, now: Instant) -> bool {
-        let uptime = self
-            .running_since
-            .map(|running_since| now.since(running_since));
-        let long_enough = uptime.is_some_and(|uptime| uptime >= self.settings.min_uptime_alone);
-        !long_enough && !self.knows_all_targets(now)
-    }
-
-    /// Returns `true` if the balancer knows every target.
-    ///
-    /// Another balancer must have reported recently that it knows the same targets. Besides, the
-    /// balancer must have received a message from each registered agent that may run, or the process
-    /// must have run for some time, which is longer while many registered agents are missing.
-    pub(super) fn knows_all_targets(&self, now: Instant) -> bool {
-        let Some(running_since) = self.running_since else {
-            return false;
-        };
-        let completeness =
-            self.registrations
-                .completeness(&self.targets, &self.settings, running_since, now);
-        let min_uptime = completeness.min_uptime(&self.settings);
-        let uptime = now.since(running_since);
-        let agreed = self
-            .peers
-            .last_agreement()
-            .filter(|agreed_at| *agreed_at >= running_since)
-            .is_some_and(|agreed_at| now.since(agreed_at) < self.settings.agreement_lifetime);
-        (agreed && uptime >= min_uptime)
-            || (self.peers.is_empty() && uptime >= self.settings.min_uptime_alone)
-    }
 }
--- a/crates/lavenderseam_passthrough/src/balancer/searches.rs
+++ b/crates/lavenderseam_passthrough/src/balancer/searches.rs
@@ -22,6 +22,9 @@
     pub(super) acknowledgment: Option<u32>,
     pub(super) phase: Phase,
     pub(super) started_at: Instant,
+    /// Value of [`Targets::additions`](super::targets::Targets::additions) when the last query about
+    /// the flow was sent.
+    pub(super) additions: u64,
 }
 
 /// Progress of a search.
@@ -82,7 +85,8 @@
     /// Flows that the next queries ask about.
     pub(super) waiting: Vec<Flow>,
     pub(super) queries: BTreeMap<u32, PendingQuery>,
-    pub(super) last_number: u32,
+    /// Number of the last query; `None` before the first one.
+    last_number: Option<u32>,
     /// Earliest time of the next new queries.
     pub(super) next_queries_at: Instant,
     /// Flows whose search is uncertain.
@@ -134,11 +138,25 @@
             acknowledgment: acknowledgment(segment),
             phase: Phase::Waiting,
             started_at: now,
+            additions: 0,
         };
         self.by_flow.insert(segment.flow, search);
         true
     }
 
+    /// Returns the number of a new query.
+    ///
+    /// The first number depends on the time, so that late answers to an earlier run of this process
+    /// aren't taken for answers to its own queries.
+    pub(super) fn next_number(&mut self, now: Instant) -> u32 {
+        let first = || (now.0 / 1_000) as u32;
+        let number = self
+            .last_number
+            .map_or_else(first, |last| last.wrapping_add(1));
+        self.last_number = Some(number);
+        number
+    }
+
     /// Makes a flow part of the next queries.
     pub(super) fn wait_for_query(&mut self, flow: Flow) {
         if let Some(search) = self.by_flow.get_mut(&flow) {
--- a/crates/lavenderseam_passthrough/src/balancer/silence.rs
+++ b/crates/lavenderseam_passthrough/src/balancer/silence.rs
@@ -13,6 +13,7 @@
 
 use super::target::Target;
 use super::{Action, Balancer};
+use crate::desired::RegisteredAgent;
 use crate::message::{TargetId, TargetState};
 
 /// Number of balancers that report a silent agent.
@@ -26,6 +27,15 @@
     reported: BTreeMap<TargetId, SocketAddrV4>,
 }
 
+impl SilenceReports {
+    /// Takes over the reports of balancers that may have stopped since, from the registrations.
+    pub(super) fn set_registered(&mut self, agents: &[RegisteredAgent]) {
+        let silent = agents.iter().filter(|agent| agent.is_silent);
+        let reports = silent.map(|agent| (TargetId::new(agent.address), agent.address));
+        self.reported.extend(reports);
+    }
+}
+
 impl Balancer {
     /// Returns reports about agents that have become silent, or send messages again.
     pub(super) fn silence_reports(&mut self, now: Instant) -> Vec<Action> {
@@ -41,7 +51,9 @@
             })
             .collect();
         for id in heard_again {
-            if let Some(agent) = self.silence.reported.remove(&id) {
+            if let Some(agent) = self.silence.reported.remove(&id)
+                && self.is_reporter_of(id)
+            {
                 let is_silent = false;
                 actions.push(Action::ReportSilence { agent, is_silent });
             }
--- a/crates/lavenderseam_passthrough/src/balancer/targets.rs
+++ b/crates/lavenderseam_passthrough/src/balancer/targets.rs
@@ -24,6 +24,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct Targets {
     by_id: BTreeMap<TargetId, Target>,
+    /// Number of times that a target became known, or its backend server ran again.
+    additions: u64,
 }
 
 /// Seed that makes the choice of trial flows independent of the ranking of targets, which hashes
@@ -54,11 +56,15 @@
         let Some(existing) = self.by_id.get_mut(&id) else {
             let target = Target::new(agent, announcement, now);
             self.by_id.insert(id, target);
+            self.additions += 1;
             return AnnouncementEffect::Changed;
         };
         if existing.run == announcement.run && announcement.sequence <= existing.sequence {
             return AnnouncementEffect::Stale;
         }
+        if existing.state == TargetState::Ended && announcement.state != TargetState::Ended {
+            self.additions += 1;
+        }
         let changed = existing.state != announcement.state
             || existing.service != service
             || existing.domain != announcement.domain;
@@ -106,6 +112,9 @@
             target.received_directly = existing.is_some_and(|existing| existing.received_directly);
             target.unresponsive = existing.is_some_and(|existing| existing.unresponsive);
             target.sequence = existing.map_or(0, |existing| existing.sequence);
+            if existing.is_none_or(|existing| existing.state == TargetState::Ended) {
+                self.additions += 1;
+            }
             self.by_id.insert(id, target);
         }
     }
@@ -119,6 +128,11 @@
             })
     }
 
+    /// Returns how often the set of targets that may hold flows has grown.
+    pub(crate) const fn additions(&self) -> u64 {
+        self.additions
+    }
+
     /// Returns the target with this identifier.
     pub(crate) fn get(&self, id: TargetId) -> Option<&Target> {
         self.by_id.get(&id)
--- a/crates/lavenderseam_passthrough/src/message.rs
+++ b/crates/lavenderseam_passthrough/src/message.rs
@@ -16,6 +16,9 @@
 /// Maximum number of flows that one location query asks about.
 pub const MAX_PROBES_PER_QUERY: usize = 32;
 
+/// Digest in the gossip of a balancer that has just started and may not know all targets yet.
+pub const INCOMPLETE_TARGETS: u64 = 0;
+
 /// Identifies a target by a hash of its agent's address.
 #[derive(
     Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
@@ -262,7 +265,8 @@
     /// Revision of the sender's set of failure domains that are out of service.
     #[serde(rename = "outs")]
     pub out_domains_revision: Revision,
-    /// Digest of the targets known to the sender, without terminated ones.
+    /// Digest of the targets known to the sender, without terminated ones;
+    /// [`INCOMPLETE_TARGETS`] if the sender may not know all targets yet.
     #[serde(rename = "targets")]
     pub targets_digest: u64,
     /// Address at which the sender serves its records.
--- /dev/null
+++ b/crates/lavenderseam_passthrough/tests/conclusions.rs
@@ -0,0 +1,369 @@
+//! Conclusions of a balancer that no target holds a flow. Each test makes one premise of such a
+//! conclusion false while the flow is open at a target, so that a reset would break it.
+
+#![expect(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
+
+mod fixture;
+
+use std::collections::BTreeMap;
+use std::net::{Ipv4Addr, SocketAddrV4};
+
+use fixture::{BALANCER, SERVICE, at_ms, flow, request};
+use googletest::prelude::*;
+use lavenderseam_core::catalog::Revision;
+use lavenderseam_passthrough::balancer::{
+    Action, Balancer, DiscardReason, Identity, Resolution, SearchAction, Verdict,
+};
+use lavenderseam_passthrough::desired::{
+    DesiredState, RegisteredAgent, Route, ServiceLimits, WeightedService,
+};
+use lavenderseam_passthrough::message::{
+    Announcement, FlowDenial, INCOMPLETE_TARGETS, Load, LocationQuery, LocationReply, Reason,
+    RecordVersions, ReturnHeader, TargetSnapshot, TargetState,
+};
+
+const PORT: u16 = 1;
+
+fn agent(index: u8) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::new(10, 2, 0, index), 7_000)
+}
+
+fn peer() -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::new(10, 1, 0, 2), 7_000)
+}
+
+fn registered(agents: &[u8]) -> Vec<RegisteredAgent> {
+    let registration = |index: &u8| RegisteredAgent {
+        address: agent(*index),
+        is_silent: false,
+    };
+    agents.iter().map(registration).collect()
+}
+
+/// A balancer that has just started, with one peer and the registrations of some agents.
+struct Fixture {
+    balancer: Balancer,
+    sequence: u64,
+}
+
+impl Fixture {
+    fn new(agents: &[u8]) -> Self {
+        let mut balancer = Balancer::new(Identity {
+            domain: "a".to_owned(),
+            address: BALANCER,
+            rpc_address: BALANCER,
+        });
+        let route = Route {
+            address: flow(PORT).service,
+            services: vec![WeightedService {
+                service: SERVICE.to_owned(),
+                weight: 1,
+            }],
+        };
+        balancer.set_desired_state(DesiredState {
+            revision: Revision(1),
+            version: 1,
+            services: BTreeMap::from([(SERVICE.to_owned(), ServiceLimits::default())]),
+            routes: vec![route],
+            ..DesiredState::default()
+        });
+        balancer.add_peer(peer(), at_ms(0));
+        balancer.tick(at_ms(0));
+        balancer.set_registered_agents(&registered(agents));
+        Self {
+            balancer,
+            sequence: 0,
+        }
+    }
+
+    fn announcement(&mut self, state: TargetState) -> Announcement {
+        self.sequence += 1;
+        Announcement {
+            run: 1,
+            sequence: self.sequence,
+            service: SERVICE.to_owned(),
+            domain: "a".to_owned(),
+            state,
+            load: Load {
+                slots: 2,
+                ..Load::default()
+            },
+            hears_recipient: true,
+            wants_balancers: false,
+        }
+    }
+
+    fn announce(&mut self, index: u8, state: TargetState, ms: u64) {
+        let announcement = self.announcement(state);
+        self.balancer
+            .on_announcement(&announcement, agent(index), at_ms(ms));
+    }
+
+    /// Returns the gossip that the balancer sends at a tick.
+    fn own_gossip(&mut self, ms: u64) -> RecordVersions {
+        let actions = self.balancer.tick(at_ms(ms)).into_iter();
+        let mut gossip = actions.filter_map(|action| match action {
+            Action::Gossip { gossip, .. } => Some(gossip),
+            _ => None,
+        });
+        gossip.next_back().unwrap()
+    }
+
+    /// Handles gossip of the peer, which holds the same records as the balancer.
+    fn hear_agreement(&mut self, ms: u64) {
+        let gossip = RecordVersions {
+            rpc_address: Some(peer()),
+            ..self.own_gossip(ms)
+        };
+        self.balancer.on_gossip(&gossip, peer(), at_ms(ms));
+    }
+
+    /// Handles a packet of the flow, and returns the agent that it is forwarded to.
+    fn send(&mut self, ms: u64) -> Verdict {
+        self.balancer.on_caller_packet(&request(PORT, 1), at_ms(ms))
+    }
+
+    /// Returns the packet from an agent that denies the flow.
+    fn deny(&mut self, index: u8, header: &Verdict, ms: u64) -> Verdict {
+        let Verdict::Forward { header, .. } = header.clone() else {
+            panic!("not forwarded: {header:?}");
+        };
+        let returned = ReturnHeader {
+            reason: Reason::NotHeld,
+            load: Load::default(),
+            header,
+        };
+        self.balancer
+            .on_returned_packet(&request(PORT, 1), returned, agent(index), at_ms(ms))
+    }
+
+    /// Answers a query for an agent that doesn't hold the flow.
+    fn deny_query(&mut self, index: u8, query: &LocationQuery, ms: u64) -> Vec<SearchAction> {
+        let reply = LocationReply {
+            number: query.number,
+            ..LocationReply::default()
+        };
+        self.balancer
+            .on_location_reply(&reply, agent(index), at_ms(ms))
+    }
+
+    /// Returns the queries that are due, with the agents that they are sent to.
+    fn queries(&mut self, ms: u64) -> Vec<(SocketAddrV4, LocationQuery)> {
+        let actions = self.balancer.poll_searches(at_ms(ms)).into_iter();
+        actions
+            .filter_map(|action| match action {
+                SearchAction::Query { agent, query } => Some((agent, query)),
+                _ => None,
+            })
+            .collect()
+    }
+
+    /// Sends a packet of the flow that agent 1 denies, and returns the query that follows.
+    fn search(&mut self, ms: u64) -> LocationQuery {
+        let verdict = self.send(ms);
+        expect_that!(is_forwarded_to(&verdict, 1), eq(true));
+        expect_that!(self.deny(1, &verdict, ms + 1), eq(&Verdict::Hold));
+        let queries = self.queries(ms + 5);
+        queries.into_iter().next().unwrap().1
+    }
+}
+
+fn is_forwarded_to(verdict: &Verdict, index: u8) -> bool {
+    matches!(verdict, Verdict::Forward { agent: to, .. } if *to == agent(index))
+}
+
+fn resets(actions: &[SearchAction]) -> bool {
+    let reset = Resolution::Reset(DiscardReason::Unowned);
+    let is_reset = |action: &SearchAction| matches!(action, SearchAction::Resolve { resolution, .. } if *resolution == reset);
+    actions.iter().any(is_reset)
+}
+
+/// All premises hold: every agent has denied the flow, all registered ones have been heard, and the
+/// peer knows the same targets since.
+#[gtest]
+fn a_flow_that_all_targets_deny_is_reset() {
+    let mut fixture = Fixture::new(&[1, 2]);
+    fixture.announce(1, TargetState::Ready, 20);
+    fixture.announce(2, TargetState::Ready, 20);
+    fixture.hear_agreement(600);
+    let first = fixture.send(700);
+    let Verdict::Forward { agent: to, .. } = &first else {
+        panic!("not forwarded: {first:?}");
+    };
+    let order = if *to == agent(1) { [1, 2] } else { [2, 1] };
+    let second = fixture.deny(order[0], &first, 701);
+    expect_that!(fixture.deny(order[1], &second, 702), eq(&Verdict::Hold));
+    let query = fixture.queries(710).remove(0).1;
+    let first = fixture.deny_query(1, &query, 711);
+    expect_that!(resets(&first), eq(false));
+    let last = fixture.deny_query(2, &query, 711);
+    expect_that!(resets(&last), eq(true));
+}
+
+/// Agent 3, which holds the flow, is heard after the query was answered and before the last visit is.
+/// The denials until then don't cover it, although all registered agents have been heard by then.
+#[gtest]
+fn a_target_that_becomes_known_during_the_visits_is_asked() {
+    let mut fixture = Fixture::new(&[1, 2, 3]);
+    fixture.announce(1, TargetState::Ready, 20);
+    let query = fixture.search(30);
+    fixture.announce(2, TargetState::Ready, 36);
+    fixture.deny_query(1, &query, 37);
+    // Agent 2 has become known since the query was sent.
+    let mut verdict = fixture.send(38);
+    fixture.announce(3, TargetState::Ready, 39);
+    fixture.hear_agreement(540);
+    if let Verdict::Forward { .. } = &verdict {
+        verdict = fixture.deny(2, &verdict, 541);
+    }
+    expect_that!(verdict, eq(&Verdict::Hold));
+    let asked: Vec<_> = fixture
+        .queries(600)
+        .into_iter()
+        .map(|query| query.0)
+        .collect();
+    expect_that!(asked, contains(eq(&agent(3))));
+}
+
+/// As above, while agent 1 verifies the flow at its backend server.
+#[gtest]
+fn a_target_that_becomes_known_during_a_verification_is_asked() {
+    let mut fixture = Fixture::new(&[1, 2]);
+    fixture.announce(1, TargetState::Ready, 20);
+    let query = fixture.search(30);
+    let reply = LocationReply {
+        number: query.number,
+        unverified: vec![0],
+        ..LocationReply::default()
+    };
+    fixture
+        .balancer
+        .on_location_reply(&reply, agent(1), at_ms(37));
+    fixture.announce(2, TargetState::Ready, 38);
+    fixture.hear_agreement(540);
+    let denial = FlowDenial {
+        flow: flow(PORT),
+        has_ended: false,
+        load: Load::default(),
+    };
+    let actions = fixture
+        .balancer
+        .on_flow_denied(&denial, agent(1), at_ms(541));
+    expect_that!(resets(&actions), eq(false));
+    let asked: Vec<_> = fixture
+        .queries(600)
+        .into_iter()
+        .map(|query| query.0)
+        .collect();
+    expect_that!(asked, contains(eq(&agent(2))));
+}
+
+/// The peer agreed before agent 2 became known, so it may not know other targets that have started
+/// since either.
+#[gtest]
+fn an_agreement_about_fewer_targets_proves_nothing() {
+    let mut fixture = Fixture::new(&[1, 2]);
+    fixture.announce(1, TargetState::Ready, 20);
+    fixture.hear_agreement(530);
+    fixture.announce(2, TargetState::Ready, 600);
+    let verdict = fixture.send(700);
+    let Verdict::Forward { agent: to, .. } = &verdict else {
+        panic!("not forwarded: {verdict:?}");
+    };
+    let order = if *to == agent(1) { [1, 2] } else { [2, 1] };
+    let verdict = fixture.deny(order[0], &verdict, 701);
+    fixture.deny(order[1], &verdict, 702);
+    let query = fixture.queries(710).remove(0).1;
+    fixture.deny_query(1, &query, 711);
+    expect_that!(resets(&fixture.deny_query(2, &query, 711)), eq(false));
+    // The peer knows agent 2, too.
+    fixture.hear_agreement(1_040);
+    let query = fixture.queries(1_100).remove(0).1;
+    fixture.deny_query(1, &query, 1_101);
+    expect_that!(resets(&fixture.deny_query(2, &query, 1_101)), eq(true));
+}
+
+/// The peer has just started as well, so its agreement doesn't show that other targets don't exist.
+/// Agent 2, which holds the flow, restarts and is silent for longer than balancers wait.
+#[gtest]
+fn a_peer_that_has_just_started_proves_nothing() {
+    let mut fixture = Fixture::new(&[1, 2]);
+    fixture.announce(1, TargetState::Ready, 20);
+    let gossip = RecordVersions {
+        targets_digest: INCOMPLETE_TARGETS,
+        ..fixture.own_gossip(1_500)
+    };
+    fixture.announce(1, TargetState::Ready, 1_500);
+    fixture.balancer.on_gossip(&gossip, peer(), at_ms(1_500));
+    let query = fixture.search(1_600);
+    expect_that!(resets(&fixture.deny_query(1, &query, 1_607)), eq(false));
+}
+
+/// Others can't rely on the targets that a balancer knows which has just started, until it has heard
+/// all registered agents.
+#[gtest]
+fn a_balancer_that_has_just_started_names_no_targets() {
+    let mut fixture = Fixture::new(&[1, 2]);
+    fixture.announce(1, TargetState::Ready, 20);
+    let digest = |fixture: &mut Fixture, ms| fixture.own_gossip(ms).targets_digest;
+    expect_that!(digest(&mut fixture, 500), eq(INCOMPLETE_TARGETS));
+    // The gossip that names all targets isn't delayed.
+    fixture.announce(2, TargetState::Ready, 550);
+    expect_that!(digest(&mut fixture, 600), not(eq(INCOMPLETE_TARGETS)));
+    let mut fixture = Fixture::new(&[1, 2]);
+    fixture.announce(1, TargetState::Ready, 20);
+    expect_that!(digest(&mut fixture, 500), eq(INCOMPLETE_TARGETS));
+    expect_that!(digest(&mut fixture, 1_300), not(eq(INCOMPLETE_TARGETS)));
+}
+
+/// A target that had no backend server, and is known to run again by the report of a peer, may hold
+/// flows that were opened since.
+#[gtest]
+fn a_target_whose_backend_server_runs_again_is_asked() {
+    let mut fixture = Fixture::new(&[1, 2]);
+    fixture.announce(1, TargetState::Ready, 20);
+    fixture.announce(2, TargetState::Ended, 20);
+    fixture.announce(1, TargetState::Ready, 1_900);
+    let query = fixture.search(2_000);
+    let announcement = fixture.announcement(TargetState::Ready);
+    let snapshot = TargetSnapshot {
+        agent: agent(2),
+        age_ms: 10,
+        announcement,
+    };
+    fixture.balancer.merge_targets(&[snapshot], at_ms(2_006));
+    fixture.hear_agreement(2_006);
+    expect_that!(resets(&fixture.deny_query(1, &query, 2_007)), eq(false));
+}
+
+/// Queries of an earlier run of the balancer may be answered late. The numbers of a run differ from
+/// those of one that started at another time.
+#[gtest]
+fn answers_to_queries_of_an_earlier_run_are_ignored() {
+    let mut earlier = Fixture::new(&[1]);
+    earlier.announce(1, TargetState::Ready, 20);
+    let earlier = earlier.search(30).number;
+    let mut later = Fixture::new(&[1]);
+    later.announce(1, TargetState::Ready, 4_020);
+    expect_that!(later.search(4_030).number, not(eq(earlier)));
+}
+
+/// The mark of an agent as silent may be older than its return, if the balancer that reported it has
+/// been replaced. A balancer that starts and hears the agent removes the mark.
+#[gtest]
+fn an_outdated_mark_of_a_silent_agent_is_removed() {
+    let mut fixture = Fixture::new(&[1]);
+    fixture.balancer.set_registered_agents(&[RegisteredAgent {
+        address: agent(1),
+        is_silent: true,
+    }]);
+    fixture.announce(1, TargetState::Ready, 100);
+    let actions = fixture.balancer.tick(at_ms(200));
+    let removal = Action::ReportSilence {
+        agent: agent(1),
+        is_silent: false,
+    };
+    expect_that!(actions, contains(eq(&removal)));
+    let actions = fixture.balancer.tick(at_ms(300));
+    expect_that!(actions, not(contains(eq(&removal))));
+}
