Count no request as work that was answered before the agent restarted

Change: a flow remembers up to which byte the backend server had acknowledged the caller's data when it last sent data; what lies before is answered. Two metrics show the mean number of requests at the backend server, as counted and by Little's law from the response times.

Result: requests_answered_before_a_restart_of_the_agent_are_no_work fails before.

--- a/crates/lavenderseam_node/src/agent/driver.rs
+++ b/crates/lavenderseam_node/src/agent/driver.rs
@@ -149,14 +149,27 @@
                     }
                 }
             }
-            let load = self.agent.borrow_mut().target_load(now);
-            self.process.metrics.flows.set(i64::from(load.flows));
-            self.process.metrics.busy.set(i64::from(load.busy_slots));
+            self.update_metrics(now);
             self.process.log.flush(now);
             tokio::time::sleep(period).await;
         }
     }
 
+    /// Updates the metrics of the current load.
+    fn update_metrics(&self, now: Instant) {
+        let mut agent = self.agent.borrow_mut();
+        let load = agent.target_load(now);
+        let metrics = &self.process.metrics;
+        metrics.flows.set(i64::from(load.flows));
+        metrics.busy.set(i64::from(load.busy_slots));
+        metrics
+            .pending_mean
+            .set(agent.mean_pending_requests(now).into());
+        metrics
+            .answered_mean
+            .set(agent.mean_answered_requests(now).into());
+    }
+
     /// Handles a heartbeat of the backend server; returns `false` if it is rejected.
     pub(crate) fn handle_heartbeat(&self, heartbeat: &Heartbeat) -> bool {
         let now = self.process.clock.now();
--- a/crates/lavenderseam_node/src/metrics.rs
+++ b/crates/lavenderseam_node/src/metrics.rs
@@ -88,6 +88,10 @@
     pub flows: Gauge,
     /// Number of request slots in use: by flows that wait for an answer, or by failed requests.
     pub busy: Gauge,
+    /// Mean number of requests at the backend server, as counted from the packets of each flow.
+    pub pending_mean: Gauge<f64, AtomicU64>,
+    /// The same mean by Little's law: the response times of all requests answered in a second.
+    pub answered_mean: Gauge<f64, AtomicU64>,
     /// Duration of requests to the store except watches, in seconds.
     pub store_seconds: LatencyHistogram,
     /// Number of requests whose flow the backend server ended without an answer.
@@ -158,6 +162,16 @@
         );
         registry.register("flows", "Flows known", self.flows.clone());
         registry.register("busy", "Flows that wait for an answer", self.busy.clone());
+        registry.register(
+            "pending_mean",
+            "Mean requests at the backend server, counted",
+            self.pending_mean.clone(),
+        );
+        registry.register(
+            "answered_mean",
+            "Mean requests at the backend server, by Little's law",
+            self.answered_mean.clone(),
+        );
         let store_histogram = self.store_seconds.0.clone();
         registry.register(
             "store_seconds",
--- a/crates/lavenderseam_passthrough/src/agent/flows.rs
+++ b/crates/lavenderseam_passthrough/src/agent/flows.rs
@@ -42,6 +42,9 @@
     pending_since: Option<Instant>,
     /// Sequence number after the caller's last data; `None` if the caller has sent no data.
     request_end: Option<u32>,
+    /// End of the caller's data that the backend server had acknowledged when it last sent data;
+    /// `None` if it has sent none.
+    answered_end: Option<u32>,
     /// Next sequence number of the backend server; `None` if it isn't known.
     backend_next_sequence: Option<u32>,
     last_used: Instant,
@@ -73,6 +76,7 @@
             state: FlowState::SynReceived(None),
             pending_since: Some(now),
             request_end: None,
+            answered_end: None,
             backend_next_sequence: None,
             last_used: now,
             caller_fin: false,
@@ -93,6 +97,7 @@
             state,
             pending_since: None,
             request_end: None,
+            answered_end: None,
             backend_next_sequence: None,
             last_used: now,
             caller_fin: false,
@@ -111,8 +116,11 @@
         if !segment.is_syn() && matches!(entry.state, FlowState::SynReceived(_)) {
             entry.state = FlowState::Established;
         }
-        // A retransmitted request may cross its response and won't be answered a second time.
-        if entry.state == FlowState::Established && segment.has_new_data(entry.request_end) {
+        // A retransmitted request may cross its response and won't be answered a second time. An
+        // agent that has restarted knows of the response only from the backend server's packets.
+        let is_request =
+            segment.has_new_data(entry.request_end) && segment.has_new_data(entry.answered_end);
+        if entry.state == FlowState::Established && is_request {
             entry.request_end = Some(segment.payload_end());
             // The flow may already count as a pending request because of its SYN.
             if entry.pending_since.replace(now).is_none() {
@@ -139,6 +147,9 @@
         if segment.flags.syn && matches!(entry.state, FlowState::SynReceived(_)) {
             entry.state = FlowState::SynReceived(Some(segment.sequence));
         }
+        if segment.payload_length > 0 && segment.flags.ack {
+            entry.answered_end = Some(segment.acknowledgment);
+        }
         let mut reply = None;
         if let Some(since) = entry.pending_since {
             let elapsed = now.since(since);
--- a/crates/lavenderseam_passthrough/src/agent/mod.rs
+++ b/crates/lavenderseam_passthrough/src/agent/mod.rs
@@ -17,6 +17,7 @@
 mod flows;
 mod liveness;
 mod location;
+mod occupancy;
 mod penalties;
 mod response_time;
 mod settings;
@@ -43,6 +44,7 @@
 use liveness::BackendLiveness;
 use location::UnconfirmedFlows;
 pub use location::Verification;
+use occupancy::Occupancy;
 use penalties::FailurePenalties;
 use response_time::ResponseTime;
 pub use settings::Settings;
@@ -140,6 +142,7 @@
     announce_to_all: bool,
     liveness: BackendLiveness,
     response_time: ResponseTime,
+    occupancy: Occupancy,
     penalties: FailurePenalties,
     /// `true` once the agent is registered, so that balancers that start know of its target.
     registered: bool,
@@ -185,6 +188,7 @@
             announce_to_all: false,
             liveness: BackendLiveness::default(),
             response_time: ResponseTime::default(),
+            occupancy: Occupancy::default(),
             penalties: FailurePenalties::default(),
             registered: false,
             unregistered_since: None,
@@ -278,6 +282,7 @@
             match reply {
                 Some(RequestOutcome::Answered(waited)) => {
                     self.response_time.record(waited);
+                    self.occupancy.record(waited, now);
                     self.penalties.on_response();
                 }
                 Some(RequestOutcome::Aborted(_)) => {
@@ -387,6 +392,7 @@
                 self.cold_start.clear();
                 self.liveness = BackendLiveness::default();
                 self.response_time = ResponseTime::default();
+                self.occupancy = Occupancy::default();
                 self.penalties = FailurePenalties::default();
             }
         }
@@ -513,6 +519,18 @@
         }
     }
 
+    /// Returns the mean number of requests at the backend server over about the last second, as
+    /// counted from the packets of each flow.
+    pub fn mean_pending_requests(&mut self, now: Instant) -> f32 {
+        f32::from(self.flows.mean_pending_hundredths(now)) / 100.0
+    }
+
+    /// Returns the same mean by Little's law, from the requests that were answered.
+    #[must_use]
+    pub fn mean_answered_requests(&self, now: Instant) -> f32 {
+        self.occupancy.mean(now)
+    }
+
     /// Removes the flows of a terminated backend server, but remembers that it held them.
     fn end_all_flows(&mut self, now: Instant) {
         for flow in self.flows.clear(now) {
