Count only targets with a backend server as new ones in searches

Cause: found in the read-through. A target without a backend server that a peer reports counted as a growth of the set, also again and again, so that each exchange of records started the searches anew, although such a target holds nothing.

Change: the set grows only by targets with a backend server, or whose backend server runs again.

Result: a_target_without_a_backend_server_delays_no_conclusion fails before.

--- a/crates/lavenderseam_passthrough/src/balancer/certainty.rs
+++ b/crates/lavenderseam_passthrough/src/balancer/certainty.rs
@@ -73,9 +73,9 @@
     /// Returns `true` if the balancer knows every target.
     ///
     /// Another balancer must have reported recently that it knows the same targets as this one does
-    /// now. Besides, the balancer must have received a message from each
-    /// registered agent that may run, or the process must have run for some time, which is longer
-    /// while many registered agents are missing.
+    /// now. Besides, the balancer must have received a message from each registered agent that may
+    /// run, or the process must have run for some time, which is longer while many registered agents
+    /// are missing.
     pub(super) fn knows_all_targets(&self, now: Instant) -> bool {
         let Some(running_since) = self.running_since else {
             return false;
--- a/crates/lavenderseam_passthrough/src/balancer/targets.rs
+++ b/crates/lavenderseam_passthrough/src/balancer/targets.rs
@@ -24,7 +24,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct Targets {
     by_id: BTreeMap<TargetId, Target>,
-    /// Number of times that a target became known, or its backend server ran again.
+    /// Number of times that a target with a backend server became known, or its backend server ran
+    /// again.
     additions: u64,
 }
 
@@ -56,7 +57,7 @@
         let Some(existing) = self.by_id.get_mut(&id) else {
             let target = Target::new(agent, announcement, now);
             self.by_id.insert(id, target);
-            self.additions += 1;
+            self.additions += u64::from(announcement.state != TargetState::Ended);
             return AnnouncementEffect::Changed;
         };
         if existing.run == announcement.run && announcement.sequence <= existing.sequence {
@@ -112,7 +113,8 @@
             target.received_directly = existing.is_some_and(|existing| existing.received_directly);
             target.unresponsive = existing.is_some_and(|existing| existing.unresponsive);
             target.sequence = existing.map_or(0, |existing| existing.sequence);
-            if existing.is_none_or(|existing| existing.state == TargetState::Ended) {
+            let was_ended = existing.is_none_or(|existing| existing.state == TargetState::Ended);
+            if was_ended && target.state != TargetState::Ended {
                 self.additions += 1;
             }
             self.by_id.insert(id, target);
--- a/crates/lavenderseam_passthrough/tests/conclusions.rs
+++ b/crates/lavenderseam_passthrough/tests/conclusions.rs
@@ -336,6 +336,24 @@
     expect_that!(resets(&fixture.deny_query(1, &query, 2_007)), eq(false));
 }
 
+/// A target without a backend server holds nothing, so that hearing of one from a peer delays no
+/// conclusion. Otherwise each exchange of records would start all searches again.
+#[gtest]
+fn a_target_without_a_backend_server_delays_no_conclusion() {
+    let mut fixture = Fixture::new(&[1]);
+    fixture.announce(1, TargetState::Ready, 20);
+    fixture.hear_agreement(530);
+    let query = fixture.search(600);
+    let announcement = fixture.announcement(TargetState::Ended);
+    let snapshot = TargetSnapshot {
+        agent: agent(2),
+        age_ms: 10,
+        announcement,
+    };
+    fixture.balancer.merge_targets(&[snapshot], at_ms(606));
+    expect_that!(resets(&fixture.deny_query(1, &query, 607)), eq(true));
+}
+
 /// Queries of an earlier run of the balancer may be answered late. The numbers of a run differ from
 /// those of one that started at another time.
 #[gtest]
