--- a/crates/lavenderseam_passthrough/tests/conclusions.rs
+++ b/crates/lavenderseam_passthrough/tests/conclusions.rs
@@ -118,15 +118,15 @@
         self.balancer.on_gossip(&gossip, peer(), at_ms(ms));
     }
 
-    /// Handles a packet of the flow, and returns the agent that it is forwarded to.
+    /// Handles a packet of the flow.
     fn send(&mut self, ms: u64) -> Verdict {
         self.balancer.on_caller_packet(&request(PORT, 1), at_ms(ms))
     }
 
-    /// Returns the packet from an agent that denies the flow.
-    fn deny(&mut self, index: u8, header: &Verdict, ms: u64) -> Verdict {
-        let Verdict::Forward { header, .. } = header.clone() else {
-            panic!("not forwarded: {header:?}");
+    /// Returns a forwarded packet to the balancer, from an agent that denies its flow.
+    fn deny(&mut self, index: u8, forwarded: &Verdict, ms: u64) -> Verdict {
+        let Verdict::Forward { header, .. } = forwarded.clone() else {
+            panic!("not forwarded: {forwarded:?}");
         };
         let returned = ReturnHeader {
             reason: Reason::NotHeld,
@@ -137,6 +137,18 @@
             .on_returned_packet(&request(PORT, 1), returned, agent(index), at_ms(ms))
     }
 
+    /// Sends a packet of the flow that agents 1 and 2 deny, in the order in which they get it.
+    fn deny_by_both(&mut self, ms: u64) -> Verdict {
+        let first = self.send(ms);
+        let order = if is_forwarded_to(&first, 1) {
+            [1, 2]
+        } else {
+            [2, 1]
+        };
+        let second = self.deny(order[0], &first, ms + 1);
+        self.deny(order[1], &second, ms + 2)
+    }
+
     /// Answers a query for an agent that doesn't hold the flow.
     fn deny_query(&mut self, index: u8, query: &LocationQuery, ms: u64) -> Vec<SearchAction> {
         let reply = LocationReply {
@@ -186,13 +198,7 @@
     fixture.announce(1, TargetState::Ready, 20);
     fixture.announce(2, TargetState::Ready, 20);
     fixture.hear_agreement(600);
-    let first = fixture.send(700);
-    let Verdict::Forward { agent: to, .. } = &first else {
-        panic!("not forwarded: {first:?}");
-    };
-    let order = if *to == agent(1) { [1, 2] } else { [2, 1] };
-    let second = fixture.deny(order[0], &first, 701);
-    expect_that!(fixture.deny(order[1], &second, 702), eq(&Verdict::Hold));
+    expect_that!(fixture.deny_by_both(700), eq(&Verdict::Hold));
     let query = fixture.queries(710).remove(0).1;
     let first = fixture.deny_query(1, &query, 711);
     expect_that!(resets(&first), eq(false));
@@ -266,13 +272,7 @@
     fixture.announce(1, TargetState::Ready, 20);
     fixture.hear_agreement(530);
     fixture.announce(2, TargetState::Ready, 600);
-    let verdict = fixture.send(700);
-    let Verdict::Forward { agent: to, .. } = &verdict else {
-        panic!("not forwarded: {verdict:?}");
-    };
-    let order = if *to == agent(1) { [1, 2] } else { [2, 1] };
-    let verdict = fixture.deny(order[0], &verdict, 701);
-    fixture.deny(order[1], &verdict, 702);
+    expect_that!(fixture.deny_by_both(700), eq(&Verdict::Hold));
     let query = fixture.queries(710).remove(0).1;
     fixture.deny_query(1, &query, 711);
     expect_that!(resets(&fixture.deny_query(2, &query, 711)), eq(false));
