Reset idle flows that have ended with their target, also after a loss of all power

Cause: callers keep flows in a pool. After a loss of power nobody tells them that their flows are gone, and the next request on such a flow is reset; if it may not be repeated, it is lost.

Change: balancers remember for each flow whether its agent has confirmed it, and the caller's last acknowledgment. Once an agent announces a new run, they ask it about the flows that it had confirmed, and reset those that it denies. A packet that the owner denies is reset without a search of all targets. For routes whose requests run at most once, open flows are written to the store each second by a few collectors, and read once by a balancer that starts.

--- a/crates/lavenderseam_node/src/balancer/driver.rs
+++ b/crates/lavenderseam_node/src/balancer/driver.rs
@@ -10,7 +10,7 @@
 use lavenderseam_core::catalog::{Epoch, Revision};
 use lavenderseam_core::time::Instant;
 use lavenderseam_passthrough::balancer::{
-    Action, Balancer, DiscardReason, Resolution, SearchAction, Verdict,
+    Action, Balancer, Checkpoint, DiscardReason, Resolution, SearchAction, Verdict,
 };
 use lavenderseam_passthrough::desired::RegisteredAgent;
 use lavenderseam_passthrough::flow::Flow;
@@ -51,6 +51,10 @@
     pub(crate) search_started: Notify,
     /// Reports about silent agents, to be written to the store.
     pub(crate) silence_reports: mpsc::UnboundedSender<RegisteredAgent>,
+    /// Open flows, by number of the partition, to be written to the store.
+    pub(crate) checkpoints: mpsc::UnboundedSender<(u32, Checkpoint)>,
+    /// `true` if the desired state requires checkpoints of open flows.
+    pub(crate) keeps_checkpoints: watch::Sender<bool>,
     /// Readiness at the last update of the status.
     pub(crate) was_ready: Cell<bool>,
     /// `true` once a signal has requested shutdown.
@@ -197,23 +201,26 @@
                 self.process.send(&Message::Forward(header), bytes, agent);
             }
             Verdict::Hold => self.hold_packet(segment, bytes, now),
-            Verdict::Reset(reason) => {
-                let label = CauseLabel {
-                    cause: DisplayLabel(reason),
-                };
-                self.process.metrics.resets.get_or_create(&label).inc();
-                self.log_unroutable(segment, PacketAction::Reset, reason, now);
-                let mut reset = self.reset_buffer.borrow_mut();
-                self.codec.encode_reset(segment, &mut reset);
-                let caller = self.codec.caller_address(segment);
-                if let Err(error) = self.packet_socket.send_to(&reset, caller) {
-                    self.process.record_socket_error("packets", &error);
-                }
-            }
+            Verdict::Reset(reason) => self.reset_flow(segment, reason, now),
             Verdict::Drop(reason) => self.drop_packet(segment, reason, now),
         }
     }
 
+    /// Resets the flow of a packet at its caller.
+    fn reset_flow(&self, segment: &Segment, reason: DiscardReason, now: Instant) {
+        let label = CauseLabel {
+            cause: DisplayLabel(reason),
+        };
+        self.process.metrics.resets.get_or_create(&label).inc();
+        self.log_unroutable(segment, PacketAction::Reset, reason, now);
+        let mut reset = self.reset_buffer.borrow_mut();
+        self.codec.encode_reset(segment, &mut reset);
+        let caller = self.codec.caller_address(segment);
+        if let Err(error) = self.packet_socket.send_to(&reset, caller) {
+            self.process.record_socket_error("packets", &error);
+        }
+    }
+
     /// Counts and logs a packet that is dropped.
     fn drop_packet(&self, segment: &Segment, reason: DiscardReason, now: Instant) {
         let label = CauseLabel {
@@ -246,6 +253,14 @@
                 SearchAction::Resolve { flow, resolution } => {
                     self.release_packets(flow, resolution, now);
                 }
+                SearchAction::ResetIdle {
+                    flow,
+                    acknowledgment,
+                    reason,
+                } => {
+                    let last_segment = Segment::acknowledgment_of(flow, acknowledgment);
+                    self.reset_flow(&last_segment, reason, now);
+                }
             }
         }
     }
@@ -325,6 +340,10 @@
                 self.balancer.borrow_mut().on_gossip(&gossip, from, now);
             }
             Message::LocationReply(reply) => self.handle_location_reply(&reply, from, now),
+            Message::FlowReport(report) => {
+                let mut balancer = self.balancer.borrow_mut();
+                balancer.on_flow_report(&report, from, now);
+            }
             Message::Forward(_)
             | Message::Hello(_)
             | Message::LocationQuery(_)
@@ -406,6 +425,16 @@
         }
         self.process
             .send(&Message::Hello(announced.reply), &[], agent);
+        self.start_queries(announced.actions, now);
+    }
+
+    /// Sends queries that no packet has caused.
+    pub(super) fn start_queries(&self, actions: Vec<SearchAction>, now: Instant) {
+        if !actions.is_empty() {
+            self.apply_search_actions(actions, now);
+            // The task that runs the searches repeats lost queries.
+            self.search_started.notify_one();
+        }
     }
 
     /// Executes an action of the state machine.
@@ -430,6 +459,20 @@
                     is_silent,
                 });
             }
+            Action::QueryFlows { agent, query } => {
+                let now = self.process.clock.now();
+                self.start_queries(vec![SearchAction::Query { agent, query }], now);
+            }
+            Action::ReportFlows { to, report } => {
+                self.process.send(&Message::FlowReport(report), &[], to);
+            }
+            Action::WriteCheckpoint {
+                partition,
+                checkpoint,
+            } => {
+                // The receiver lives as long as the task that reads the records.
+                let _ = self.checkpoints.send((partition, checkpoint));
+            }
             Action::AgentExpired { agent } => self.process.log(&Event::AgentExpired { agent }),
         }
     }
--- a/crates/lavenderseam_node/src/balancer/mod.rs
+++ b/crates/lavenderseam_node/src/balancer/mod.rs
@@ -11,7 +11,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use lavenderseam_passthrough::balancer::{Balancer, Identity};
+use lavenderseam_passthrough::balancer::{Balancer, Checkpoint, Identity};
 use lavenderseam_passthrough::desired::RegisteredAgent;
 use tokio::sync::{Notify, mpsc, watch};
 
@@ -45,8 +45,14 @@
     pub grace_period: Duration,
 }
 
-/// Receiver of reports about agents that have become silent, or send messages again.
-pub type SilenceReceiver = mpsc::UnboundedReceiver<RegisteredAgent>;
+/// What the balancer requests to be written to the store.
+#[derive(Debug)]
+pub struct StoreWrites {
+    /// Agents that have become silent, or send messages again.
+    pub silence_reports: mpsc::UnboundedReceiver<RegisteredAgent>,
+    /// Open flows, by number of the partition.
+    pub checkpoints: mpsc::UnboundedReceiver<(u32, Checkpoint)>,
+}
 
 /// Handle to a running balancer, for the source of its records.
 #[derive(Debug)]
@@ -57,8 +63,7 @@
 /// Runs a balancer until a signal stops it; must run within a `LocalSet`.
 ///
 /// `source` is spawned as a task that passes records to the balancer through the handle, and writes
-/// reports about silent agents to the store. `reload`
-/// reads the settings again and returns the new seeds, an error, or `None` if nothing has changed.
+/// what the balancer requests to the store. `reload` reads the settings again and returns the new seeds, an error, or `None` if nothing has changed.
 ///
 /// # Errors
 ///
@@ -66,7 +71,7 @@
 pub async fn run<C, F, R, E>(
     settings: Settings,
     codec: C,
-    source: impl FnOnce(Handle<C>, SilenceReceiver) -> F,
+    source: impl FnOnce(Handle<C>, StoreWrites) -> F,
     reload: R,
 ) -> io::Result<()>
 where
@@ -82,6 +87,7 @@
         rpc_address: settings.peer_address,
     };
     let (silence_reports, silence_receiver) = mpsc::unbounded_channel();
+    let (checkpoints, checkpoint_receiver) = mpsc::unbounded_channel();
     let driver = Rc::new(Driver {
         codec,
         process: ProcessContext::new(settings.name.clone(), settings.peer_address).await?,
@@ -91,6 +97,8 @@
         held_packets: RefCell::default(),
         search_started: Notify::new(),
         silence_reports,
+        checkpoints,
+        keeps_checkpoints: watch::Sender::new(false),
         was_ready: Cell::new(false),
         is_stopping: Cell::new(false),
         store_answered_at: RefCell::default(),
@@ -116,7 +124,11 @@
     let handle = Handle {
         driver: Rc::clone(&driver),
     };
-    tokio::task::spawn_local(source(handle, silence_receiver));
+    let writes = StoreWrites {
+        silence_reports: silence_receiver,
+        checkpoints: checkpoint_receiver,
+    };
+    tokio::task::spawn_local(source(handle, writes));
     let task_driver = Rc::clone(&driver);
     tokio::task::spawn_local(async move { task_driver.receive_packets().await });
     let task_driver = Rc::clone(&driver);
--- a/crates/lavenderseam_node/src/balancer/records.rs
+++ b/crates/lavenderseam_node/src/balancer/records.rs
@@ -8,6 +8,7 @@
 use ::http::StatusCode;
 use lavenderseam_core::catalog::{Epoch, Revision};
 use lavenderseam_core::time::Instant;
+use lavenderseam_passthrough::balancer::Checkpoint;
 use lavenderseam_passthrough::desired::{
     CarriedOverDomains, DesiredState, OutOfServiceDomains, RegisteredAgent, RegisteredBalancers,
 };
@@ -18,7 +19,7 @@
 use super::driver::Driver;
 use crate::codec::PacketCodec;
 use crate::http::{self, Request, Response, Service, ServiceResponse};
-use crate::log::{DependencyChange, Event};
+use crate::log::{DependencyChange, Event, LogKey};
 use crate::metrics::RecordLabel;
 
 /// HTTP path at which a balancer serves its records to others.
@@ -176,6 +177,8 @@
         let routes = desired_state.routes.len();
         let services = desired_state.services.clone();
         if self.balancer.borrow_mut().set_desired_state(desired_state) {
+            let keeps_checkpoints = self.balancer.borrow().keeps_checkpoints();
+            self.keeps_checkpoints.send_replace(keeps_checkpoints);
             self.process.log(&Event::Desired {
                 revision: revision.into(),
                 version,
@@ -315,6 +318,48 @@
         });
     }
 
+    /// Waits until the desired state requires checkpoints of open flows.
+    pub async fn wait_for_checkpoints(&self) {
+        let mut keeps_checkpoints = self.driver.keeps_checkpoints.subscribe();
+        // The sender lives as long as the driver that this handle holds.
+        let _ = keeps_checkpoints.wait_for(|keeps| *keeps).await;
+    }
+
+    /// Restores the flows of this balancer from a checkpoint, and asks their owners about them.
+    pub fn restore_checkpoint(&self, checkpoint: &Checkpoint) {
+        let driver = &self.driver;
+        let now = driver.process.clock.now();
+        let (restored, actions) = driver
+            .balancer
+            .borrow_mut()
+            .restore_checkpoint(checkpoint, now);
+        driver.process.log(&Event::CheckpointRestored {
+            flows: checkpoint.len(),
+            restored,
+        });
+        driver.start_queries(actions, now);
+    }
+
+    /// Logs the result of writing a checkpoint, which decides whether this balancer goes on to write
+    /// them.
+    pub fn record_checkpoint(&self, partition: u32, checkpoint: &Checkpoint, accepted: bool) {
+        let driver = &self.driver;
+        let mut balancer = driver.balancer.borrow_mut();
+        balancer.set_checkpoint_accepted(accepted);
+        drop(balancer);
+        let event = || Event::CheckpointWritten {
+            partition,
+            balancers: checkpoint.flows.len(),
+            flows: checkpoint.len(),
+            accepted,
+        };
+        let now = driver.process.clock.now();
+        driver
+            .process
+            .log
+            .write_lazy(LogKey::CHECKPOINT_WRITTEN, event, now);
+    }
+
     /// Logs that the store became unavailable or available again.
     pub fn log_store_change(&self, change: DependencyChange, reason: &impl ToString) {
         self.driver.process.log(&Event::Dependency {
--- a/crates/lavenderseam_node/src/log/event.rs
+++ b/crates/lavenderseam_node/src/log/event.rs
@@ -175,6 +175,26 @@
         #[serde(rename = "silent")]
         is_silent: bool,
     },
+    /// A balancer has written the open flows that it collects to the store.
+    #[serde(rename = "checkpoint")]
+    CheckpointWritten {
+        /// Number of the partition.
+        partition: u32,
+        /// Number of balancers that have reported flows.
+        balancers: usize,
+        /// Number of flows.
+        flows: usize,
+        /// `true` if the store has accepted the checkpoint.
+        accepted: bool,
+    },
+    /// A balancer that has started has read the open flows that it had reported before.
+    #[serde(rename = "checkpoint_restored")]
+    CheckpointRestored {
+        /// Number of flows in the checkpoints of all balancers.
+        flows: usize,
+        /// Number of flows that this balancer had reported and didn't know yet.
+        restored: usize,
+    },
     /// A balancer can't forward a packet to a target.
     #[serde(rename = "packet")]
     UnroutablePacket {
@@ -309,6 +329,12 @@
 }
 
 impl LogKey {
+    /// Key of checkpoints that a balancer has written.
+    pub const CHECKPOINT_WRITTEN: Self = Self {
+        kind: "checkpoint",
+        reason: "",
+    };
+
     /// Returns the key of packets that a balancer can't forward, by cause.
     #[must_use]
     pub const fn unroutable_packet(reason: DiscardReason) -> Self {
@@ -360,6 +386,8 @@
             Self::Target { .. } => ("target", ""),
             Self::AgentExpired { .. } => ("forgot", ""),
             Self::SilenceReported { .. } => ("silence", ""),
+            Self::CheckpointWritten { .. } => return Some(LogKey::CHECKPOINT_WRITTEN),
+            Self::CheckpointRestored { .. } => ("checkpoint_restored", ""),
             Self::BackendStateChanged { reason, .. } => ("backend", *reason),
             Self::MalformedInput { source, .. } => ("malformed", *source),
             Self::SocketFailed { socket, .. } => ("socket", *socket),
--- a/crates/lavenderseam_passthrough/src/balancer/cache.rs
+++ b/crates/lavenderseam_passthrough/src/balancer/cache.rs
@@ -11,6 +11,7 @@
 
 use crate::flow::{Flow, FlowMap};
 use crate::message::TargetId;
+use crate::segment::Segment;
 
 /// Confidence in the owner of a flow.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -19,8 +20,9 @@
     SynSent,
     /// A packet of a flow with unknown owner was sent to the target.
     Searching,
-    /// The caller has acknowledged the target's SYN, or the agent has confirmed that it holds the
-    /// flow.
+    /// The caller has acknowledged a SYN, most likely that of the target.
+    Opened,
+    /// The agent has confirmed that it holds the flow.
     Confirmed,
 }
 
@@ -33,6 +35,30 @@
     pub(crate) state: OwnerState,
     /// Time at which the flow was first sent to the target.
     pub(crate) first_sent: Instant,
+    /// Last acknowledgment of the caller; `None` if it isn't known.
+    pub(crate) acknowledgment: Option<u32>,
+    /// `true` if the caller has closed the flow.
+    pub(crate) is_closing: bool,
+}
+
+impl CacheEntry {
+    /// Updates the entry with a segment of the caller.
+    ///
+    /// A caller that uses its port again may have opened the flow at another target, so the agent
+    /// must confirm the flow again.
+    pub(crate) fn on_caller_segment(&mut self, segment: &Segment) {
+        let Some(acknowledgment) = segment.acknowledged() else {
+            return;
+        };
+        let continues = self
+            .acknowledgment
+            .is_none_or(|last| segment.continues(last));
+        if self.state == OwnerState::Confirmed && !continues {
+            self.state = OwnerState::Opened;
+        }
+        self.acknowledgment = Some(acknowledgment);
+        self.is_closing |= segment.flags.fin || segment.flags.rst;
+    }
 }
 
 /// Two-generation cache of flows that evicts idle ones.
@@ -60,12 +86,30 @@
 
     /// Returns the entry of a flow, and moves it to the current generation.
     pub(crate) fn get(&mut self, flow: Flow) -> Option<CacheEntry> {
-        if let Some(entry) = self.current.get(&flow) {
-            return Some(*entry);
+        self.get_mut(flow).copied()
+    }
+
+    /// Returns the entry of a flow, which doesn't count as a use.
+    pub(crate) fn peek(&self, flow: Flow) -> Option<&CacheEntry> {
+        self.current.get(&flow).or_else(|| self.previous.get(&flow))
+    }
+
+    /// Returns the entry of a flow for changes, and moves it to the current generation.
+    pub(crate) fn get_mut(&mut self, flow: Flow) -> Option<&mut CacheEntry> {
+        if !self.current.contains_key(&flow) {
+            let entry = self.previous.remove(&flow)?;
+            self.current.insert(flow, entry);
         }
-        let entry = self.previous.remove(&flow)?;
-        self.current.insert(flow, entry);
-        Some(entry)
+        self.current.get_mut(&flow)
+    }
+
+    /// Returns all flows and their entries.
+    pub(crate) fn iter(&self) -> impl Iterator<Item = (Flow, &CacheEntry)> {
+        let is_older = |(flow, _): &(&Flow, &CacheEntry)| !self.current.contains_key(flow);
+        let entries = self.current.iter();
+        entries
+            .chain(self.previous.iter().filter(is_older))
+            .map(|(flow, entry)| (*flow, entry))
     }
 
     /// Inserts an entry, after a rotation if the period has elapsed or the current generation is
--- a/crates/lavenderseam_passthrough/src/balancer/conclusion.rs
+++ b/crates/lavenderseam_passthrough/src/balancer/conclusion.rs
@@ -69,11 +69,15 @@
 
     /// Records the owner of a flow that was searched for.
     pub(super) fn confirm_owner(&mut self, flow: Flow, target: TargetId, now: Instant) {
-        self.searches.remove(flow);
+        let search = self.searches.by_flow.remove(&flow);
+        let known = self.cache.get(flow).filter(|entry| entry.target == target);
+        let acknowledgment = search.and_then(|search| search.acknowledgment);
         let entry = CacheEntry {
             target,
             state: OwnerState::Confirmed,
-            first_sent: now,
+            first_sent: known.map_or(now, |entry| entry.first_sent),
+            acknowledgment: acknowledgment.or(known.and_then(|entry| entry.acknowledgment)),
+            is_closing: known.is_some_and(|entry| entry.is_closing),
         };
         self.cache.insert(flow, entry, now);
     }
--- a/crates/lavenderseam_passthrough/src/balancer/location.rs
+++ b/crates/lavenderseam_passthrough/src/balancer/location.rs
@@ -42,8 +42,10 @@
         let has_uncertain = !self.searches.uncertain.is_empty();
         let reconsider_at = self.searches.uncertain_checked_at + UNCERTAIN_POLL_INTERVAL;
         let reconsider_at = has_uncertain.then_some(reconsider_at);
+        let revalidation_at = self.revalidations.next_at(interval);
         retry_at
             .into_iter()
+            .chain(revalidation_at)
             .chain(reconsider_at)
             .chain(queries_at)
             .chain(verification_at)
@@ -68,6 +70,7 @@
             self.send_queries(now, &mut actions);
         }
         self.advance_verifications(now, &mut actions);
+        self.repeat_revalidations(now, &mut actions);
         actions
     }
 
@@ -82,6 +85,9 @@
         if let Some(target) = self.targets.get_mut(target_id) {
             target.on_load_report(reply.load, now);
         }
+        if let Some(actions) = self.on_revalidation_reply(reply, target_id, now) {
+            return actions;
+        }
         let number = reply.number;
         let Some(query) = self.searches.queries.get_mut(&number) else {
             return Vec::new();
--- a/crates/lavenderseam_passthrough/src/balancer/mod.rs
+++ b/crates/lavenderseam_passthrough/src/balancer/mod.rs
@@ -12,6 +12,7 @@
 
 mod cache;
 mod certainty;
+mod checkpoint;
 mod conclusion;
 mod location;
 mod opening;
@@ -19,6 +20,7 @@
 mod peers;
 mod registrations;
 mod resolution;
+mod revalidation;
 mod routes;
 mod search;
 mod searches;
@@ -40,17 +42,20 @@
 };
 use crate::flow::Flow;
 use crate::message::{
-    Announcement, AttemptedTargets, FlowConfirmation, ForwardHeader, Hello, INCOMPLETE_TARGETS,
-    MAX_ATTEMPTED_TARGETS, Reason, RecordVersions, ReturnHeader, ServiceId, TargetId,
-    TargetSnapshot,
+    Announcement, AttemptedTargets, FlowConfirmation, FlowReport, ForwardHeader, Hello,
+    INCOMPLETE_TARGETS, LocationQuery, MAX_ATTEMPTED_TARGETS, Reason, RecordVersions, ReturnHeader,
+    ServiceId, TargetId, TargetSnapshot,
 };
 use crate::segment::Segment;
 use cache::FlowCache;
 pub use certainty::Premises;
+use checkpoint::Checkpoints;
+pub use checkpoint::{Checkpoint, StoredFlow};
 use out_of_service::OutOfService;
 use peers::Peers;
 use registrations::Registrations;
 pub use resolution::{Resolution, SearchAction};
+use revalidation::Revalidations;
 use routes::Routes;
 use searches::Searches;
 pub use settings::Settings;
@@ -103,6 +108,27 @@
         /// `true` if the agent no longer sends messages.
         is_silent: bool,
     },
+    /// Ask an agent which flows its target holds.
+    QueryFlows {
+        /// Agent to ask.
+        agent: SocketAddrV4,
+        /// Query to send.
+        query: LocationQuery,
+    },
+    /// Report open flows to a balancer that collects them.
+    ReportFlows {
+        /// Balancer to send the report to.
+        to: SocketAddrV4,
+        /// Report to send.
+        report: FlowReport,
+    },
+    /// Write the collected flows of a partition to the store.
+    WriteCheckpoint {
+        /// Number of the partition.
+        partition: u32,
+        /// Flows to write.
+        checkpoint: Checkpoint,
+    },
     /// Reports that a target was removed because its agent has sent no message for too long.
     AgentExpired {
         /// Address of the agent.
@@ -117,6 +143,8 @@
     pub reply: Hello,
     /// `true` if the target is new, or its state, service or failure domain has changed.
     pub target_changed: bool,
+    /// Questions about flows that the target may have lost.
+    pub actions: Vec<SearchAction>,
 }
 
 /// State machine of one balancer.
@@ -130,6 +158,8 @@
     targets: Targets,
     cache: FlowCache,
     searches: Searches,
+    revalidations: Revalidations,
+    checkpoints: Checkpoints,
     peers: Peers,
     last_gossip: Instant,
     /// `true` if the last gossip told the others which targets are known here.
@@ -161,6 +191,8 @@
             targets: Targets::default(),
             cache: FlowCache::new(settings.flow_retention, settings.flow_cache_capacity),
             searches: Searches::default(),
+            revalidations: Revalidations::default(),
+            checkpoints: Checkpoints::default(),
             peers: Peers::default(),
             last_gossip: Instant::default(),
             offered_targets: false,
@@ -208,7 +240,10 @@
         }
         let mut attempted = returned.header.attempted;
         match returned.reason {
-            Reason::Ended => return self.handle_terminated(segment),
+            Reason::Ended => return self.handle_terminated(segment, DiscardReason::Ended),
+            Reason::NotHeld if !segment.is_syn() && self.is_confirmed_owner(segment, target_id) => {
+                return self.handle_terminated(segment, DiscardReason::DeniedByOwner);
+            }
             Reason::Busy => attempted.busy.push(target_id),
             _ => attempted.refused.push(target_id),
         }
@@ -256,6 +291,7 @@
         AnnouncementOutcome {
             reply: hello,
             target_changed: effect == AnnouncementEffect::Changed,
+            actions: self.start_revalidations(now),
         }
     }
 
@@ -365,6 +401,7 @@
                 actions.push(Action::Gossip { to, gossip });
             }
         }
+        actions.extend(self.checkpoint_actions(now));
         if let Some(rpc) = self.peers.due_fetch(self.settings.fetch_delay, now) {
             actions.push(Action::FetchRecords { rpc });
         }
@@ -487,13 +524,13 @@
         own.chain(self.peers.addresses()).collect()
     }
 
-    /// Handles a packet of a flow whose backend server has terminated.
-    fn handle_terminated(&mut self, segment: &Segment) -> Verdict {
+    /// Handles a packet of a flow that certainly has ended.
+    fn handle_terminated(&mut self, segment: &Segment, reason: DiscardReason) -> Verdict {
         self.cache.remove(segment.flow);
         if segment.flags.rst {
-            return Verdict::Drop(DiscardReason::Ended);
+            return Verdict::Drop(reason);
         }
-        Verdict::Reset(DiscardReason::Ended)
+        Verdict::Reset(reason)
     }
 
     fn forward(
--- a/crates/lavenderseam_passthrough/src/balancer/opening.rs
+++ b/crates/lavenderseam_passthrough/src/balancer/opening.rs
@@ -31,12 +31,12 @@
         let entry = self.cache.get(segment.flow)?;
         let service = self.routes.service_for(segment.flow)?;
         let target = self.targets.get_mut(entry.target)?;
-        let accepts = target.state == TargetState::Ready || entry.state == OwnerState::Confirmed;
+        let is_open = matches!(entry.state, OwnerState::Opened | OwnerState::Confirmed);
+        let accepts = target.state == TargetState::Ready || is_open;
         if target.service != service || !accepts {
             return None;
         }
-        if entry.state != OwnerState::Confirmed && target.on_syn_retransmitted(&self.settings, now)
-        {
+        if !is_open && target.on_syn_retransmitted(&self.settings, now) {
             return None;
         }
         self.forward(entry.target, service, AttemptedTargets::default(), false)
@@ -127,6 +127,8 @@
         let entry = CacheEntry {
             target,
             state: OwnerState::SynSent,
+            acknowledgment: None,
+            is_closing: false,
             first_sent: now,
         };
         self.cache.insert(segment.flow, entry, now);
--- a/crates/lavenderseam_passthrough/src/balancer/peers.rs
+++ b/crates/lavenderseam_passthrough/src/balancer/peers.rs
@@ -157,6 +157,11 @@
         recipients
     }
 
+    /// Returns the number of known balancers.
+    pub(crate) fn len(&self) -> usize {
+        self.last_message_at.len()
+    }
+
     /// Returns the addresses of all known balancers.
     pub(crate) fn addresses(&self) -> impl Iterator<Item = SocketAddrV4> {
         self.last_message_at.keys().copied()
--- a/crates/lavenderseam_passthrough/src/balancer/resolution.rs
+++ b/crates/lavenderseam_passthrough/src/balancer/resolution.rs
@@ -31,6 +31,15 @@
         /// What to do with them.
         resolution: Resolution,
     },
+    /// Reset a flow at the caller that has ended while no packet of it was in hand.
+    ResetIdle {
+        /// Flow to reset.
+        flow: Flow,
+        /// Last acknowledgment of the caller.
+        acknowledgment: u32,
+        /// Why the flow is reset.
+        reason: DiscardReason,
+    },
 }
 
 /// What happens to the packets that are held for a flow.
--- a/crates/lavenderseam_passthrough/src/balancer/routes.rs
+++ b/crates/lavenderseam_passthrough/src/balancer/routes.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddrV4;
 
-use crate::desired::{DesiredState, Route};
+use crate::desired::{DesiredState, Repeatability, Route};
 use crate::flow::Flow;
 use crate::message::ServiceId;
 
@@ -33,6 +33,18 @@
         self.by_address.contains_key(&flow.service)
     }
 
+    /// Returns `true` if a route has requests that run at most once.
+    pub(crate) fn run_at_most_once(&self) -> bool {
+        let mut routes = self.by_address.values();
+        routes.any(|route| route.repeatability == Repeatability::AtMostOnce)
+    }
+
+    /// Returns `true` if the requests on a flow run at most once.
+    pub(crate) fn runs_at_most_once(&self, flow: Flow) -> bool {
+        let route = self.by_address.get(&flow.service);
+        route.is_some_and(|route| route.repeatability == Repeatability::AtMostOnce)
+    }
+
     /// Returns the services that most likely hold a flow, beginning with the one that a new flow
     /// would be assigned to.
     ///
--- a/crates/lavenderseam_passthrough/src/balancer/search.rs
+++ b/crates/lavenderseam_passthrough/src/balancer/search.rs
@@ -12,19 +12,21 @@
 
 impl Balancer {
     pub(super) fn handle_segment(&mut self, segment: &Segment, now: Instant) -> Verdict {
-        let Some(entry) = self.cache.get(segment.flow) else {
+        let Some(entry) = self.cache.get_mut(segment.flow) else {
             return self.try_next_target(segment, &AttemptedTargets::default(), now);
         };
         let Some(target) = self.targets.get_mut(entry.target) else {
             return self.try_next_target(segment, &AttemptedTargets::default(), now);
         };
         let service = target.service;
+        entry.on_caller_segment(segment);
+        let entry = *entry;
         match entry.state {
-            OwnerState::Confirmed => {}
+            OwnerState::Opened | OwnerState::Confirmed => {}
             OwnerState::SynSent => {
                 // The caller acknowledges the target's SYN, so the target has responded.
                 target.on_response(now);
-                let state = OwnerState::Confirmed;
+                let state = OwnerState::Opened;
                 self.cache
                     .insert(segment.flow, CacheEntry { state, ..entry }, now);
             }
@@ -38,7 +40,9 @@
                 }
             }
         }
-        let wants_confirmation = entry.state == OwnerState::Searching;
+        let is_unconfirmed = entry.state == OwnerState::Opened
+            && now.since(entry.first_sent) >= self.settings.confirmation_delay;
+        let wants_confirmation = entry.state == OwnerState::Searching || is_unconfirmed;
         self.forward(
             entry.target,
             service,
@@ -133,6 +137,8 @@
             target,
             state: OwnerState::Searching,
             first_sent: now,
+            acknowledgment: segment.acknowledged(),
+            is_closing: false,
         };
         self.cache.insert(segment.flow, entry, now);
         let service = self.targets.get(target).map(|target| target.service);
--- a/crates/lavenderseam_passthrough/src/balancer/searches.rs
+++ b/crates/lavenderseam_passthrough/src/balancer/searches.rs
@@ -115,7 +115,7 @@
     /// Records another packet of a flow whose packets are held.
     pub(super) fn on_packet(&mut self, segment: &Segment) {
         if let Some(search) = self.by_flow.get_mut(&segment.flow) {
-            search.acknowledgment = acknowledgment(segment).or(search.acknowledgment);
+            search.acknowledgment = segment.acknowledged().or(search.acknowledgment);
         }
     }
 
@@ -135,7 +135,7 @@
         }
         self.waiting.push(segment.flow);
         let search = Search {
-            acknowledgment: acknowledgment(segment),
+            acknowledgment: segment.acknowledged(),
             phase: Phase::Waiting,
             started_at: now,
             additions: 0,
@@ -218,12 +218,3 @@
         }
     }
 }
-
-/// Returns the acknowledgment number of a segment, if it has one.
-const fn acknowledgment(segment: &Segment) -> Option<u32> {
-    if segment.flags.ack {
-        Some(segment.acknowledgment)
-    } else {
-        None
-    }
-}
--- a/crates/lavenderseam_passthrough/src/balancer/settings.rs
+++ b/crates/lavenderseam_passthrough/src/balancer/settings.rs
@@ -10,6 +10,9 @@
     pub flow_retention: Duration,
     /// Maximum number of flows in each of the cache's two generations.
     pub flow_cache_capacity: usize,
+    /// Age of a flow from which its agent is asked to confirm that it holds the flow. Flows of a
+    /// single request end sooner, and cost no confirmation.
+    pub confirmation_delay: Duration,
     /// Time after which a target that hasn't answered a SYN counts as unresponsive, so that a
     /// retransmitted SYN goes to another target; callers retransmit after 200 ms.
     pub response_timeout: Duration,
@@ -29,6 +32,19 @@
     /// Time for which records may differ from those of another balancer before they are fetched;
     /// the store's watch or an agent's announcement usually brings them sooner.
     pub fetch_delay: Duration,
+    /// Time between two reports of open flows, and between two writes of them; the requests of a
+    /// flow that opens between the last write and a loss of power may be lost.
+    pub checkpoint_interval: Duration,
+    /// Uptime of a balancer from which it writes flows, so that every balancer has read the flows
+    /// from before a stop of everything.
+    pub min_uptime_to_checkpoint: Duration,
+    /// Time for which the flows of a balancer that reports none are still written: longer than a
+    /// restart of its VM takes, and about the time for which callers keep an idle flow.
+    pub reported_flow_retention: Duration,
+    /// Maximum number of flows that a balancer reports.
+    pub max_reported_flows: usize,
+    /// Number of balancers whose flows one record holds.
+    pub balancers_per_checkpoint: usize,
     /// Placement cost of a target in another failure domain, as a fraction of its slots; crossing
     /// domains costs latency and traffic.
     pub cross_domain_cost: f32,
@@ -119,6 +135,7 @@
         Self {
             flow_retention: Duration::from_secs(16),
             flow_cache_capacity: 1 << 19,
+            confirmation_delay: Duration::from_millis(500),
             response_timeout: Duration::from_millis(150),
             suspect_after: Duration::from_millis(1_300),
             unready_after: Duration::from_millis(800),
@@ -126,6 +143,11 @@
             gossip_interval: Duration::from_millis(500),
             isolation_timeout: Duration::from_secs(5),
             fetch_delay: Duration::from_millis(400),
+            checkpoint_interval: Duration::from_secs(1),
+            min_uptime_to_checkpoint: Duration::from_secs(10),
+            reported_flow_retention: Duration::from_secs(15),
+            max_reported_flows: 256,
+            balancers_per_checkpoint: 16,
             cross_domain_cost: 0.35,
             cold_cost: 0.5,
             fast_response_cost: 3.0,
--- a/crates/lavenderseam_passthrough/src/balancer/targets.rs
+++ b/crates/lavenderseam_passthrough/src/balancer/targets.rs
@@ -5,7 +5,7 @@
 //! requests that it covers, so the balancer adds the flows that it has sent since. A target in
 //! another failure domain is used only if the local ones are busier by a margin.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
@@ -27,6 +27,9 @@
     /// Number of times that a target with a backend server became known, or its backend server ran
     /// again.
     additions: u64,
+    /// Targets that have become known, or whose agents or backend servers have ended, since they were
+    /// last taken.
+    restarted: BTreeSet<TargetId>,
 }
 
 /// Seed that makes the choice of trial flows independent of the ranking of targets, which hashes
@@ -57,6 +60,7 @@
         let Some(existing) = self.by_id.get_mut(&id) else {
             let target = Target::new(agent, announcement, now);
             self.by_id.insert(id, target);
+            self.restarted.insert(id);
             self.additions += u64::from(announcement.state != TargetState::Ended);
             return AnnouncementEffect::Changed;
         };
@@ -66,6 +70,11 @@
         if existing.state == TargetState::Ended && announcement.state != TargetState::Ended {
             self.additions += 1;
         }
+        let has_ended =
+            existing.state != TargetState::Ended && announcement.state == TargetState::Ended;
+        if existing.run != announcement.run || has_ended {
+            self.restarted.insert(id);
+        }
         let changed = existing.state != announcement.state
             || existing.service != service
             || existing.domain != announcement.domain;
@@ -113,6 +122,9 @@
             target.received_directly = existing.is_some_and(|existing| existing.received_directly);
             target.unresponsive = existing.is_some_and(|existing| existing.unresponsive);
             target.sequence = existing.map_or(0, |existing| existing.sequence);
+            if existing.is_none_or(|existing| existing.run != target.run) {
+                self.restarted.insert(id);
+            }
             let was_ended = existing.is_none_or(|existing| existing.state == TargetState::Ended);
             if was_ended && target.state != TargetState::Ended {
                 self.additions += 1;
@@ -135,6 +147,16 @@
         self.additions
     }
 
+    /// Marks a target as one that may have lost its flows.
+    pub(crate) fn mark_restarted(&mut self, target: TargetId) {
+        self.restarted.insert(target);
+    }
+
+    /// Returns the targets that may have lost their flows since the last call.
+    pub(crate) fn take_restarted(&mut self) -> BTreeSet<TargetId> {
+        std::mem::take(&mut self.restarted)
+    }
+
     /// Returns the target with this identifier.
     pub(crate) fn get(&self, id: TargetId) -> Option<&Target> {
         self.by_id.get(&id)
--- a/crates/lavenderseam_passthrough/src/balancer/verdict.rs
+++ b/crates/lavenderseam_passthrough/src/balancer/verdict.rs
@@ -45,6 +45,8 @@
     Unanswered,
     /// The backend server that held the flow has terminated.
     Ended,
+    /// The target that had confirmed the flow no longer holds it.
+    DeniedByOwner,
     /// No target is known to hold the flow.
     Unowned,
     /// The packet has been sent to the maximum number of targets.
@@ -68,6 +70,7 @@
             Self::Overloaded => "overloaded",
             Self::Unanswered => "unanswered",
             Self::Ended => "ended",
+            Self::DeniedByOwner => "denied_by_owner",
             Self::Unowned => "unowned",
             Self::HopLimit => "hop_limit",
             Self::SearchLimit => "search_limit",
--- a/crates/lavenderseam_passthrough/src/desired.rs
+++ b/crates/lavenderseam_passthrough/src/desired.rs
@@ -30,6 +30,17 @@
     pub weight: u32,
 }
 
+/// Whether the requests of a route may be run more than once.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Repeatability {
+    /// A caller may repeat a request whose outcome it doesn't know.
+    Repeatable,
+    /// A caller must take a request whose outcome it doesn't know as failed.
+    #[default]
+    AtMostOnce,
+}
+
 /// A virtual address and the services that its flows are distributed to.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Route {
@@ -38,6 +49,9 @@
     /// Services that share the new flows of the address.
     #[serde(rename = "shares")]
     pub services: Vec<WeightedService>,
+    /// Whether the requests on the flows may be run more than once.
+    #[serde(default)]
+    pub repeatability: Repeatability,
 }
 
 /// All routes and services at one revision of the store.
--- a/crates/lavenderseam_passthrough/src/message.rs
+++ b/crates/lavenderseam_passthrough/src/message.rs
@@ -16,6 +16,9 @@
 /// Maximum number of flows that one location query asks about.
 pub const MAX_PROBES_PER_QUERY: usize = 32;
 
+/// Maximum number of flows in one [`FlowReport`], so that it fits into a datagram.
+pub const MAX_FLOWS_PER_REPORT: usize = 40;
+
 /// Digest in the gossip of a balancer that has just started and may not know all targets yet.
 pub const INCOMPLETE_TARGETS: u64 = 0;
 
@@ -154,6 +157,28 @@
     pub load: Load,
 }
 
+/// An open flow as its balancer knows it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct KnownFlow {
+    /// Flow that the target holds.
+    pub flow: Flow,
+    /// Target that has confirmed the flow.
+    pub target: TargetId,
+    /// Last acknowledgment of the caller.
+    pub acknowledgment: u32,
+}
+
+/// Reports open flows of a balancer to the balancers that collect them for the store.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FlowReport {
+    /// Round of reports; all reports of a round together hold all flows of the sender.
+    pub round: u64,
+    /// `true` if the sender itself writes the flows that it collects.
+    pub writes: bool,
+    /// Flows, at most [`MAX_FLOWS_PER_REPORT`].
+    pub flows: Vec<KnownFlow>,
+}
+
 /// Load of one target.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Load {
@@ -306,6 +331,8 @@
     Verify,
     /// Reports to a balancer that a target doesn't hold a flow.
     FlowDenied(FlowDenial),
+    /// Reports open flows to a balancer that collects them for the store.
+    FlowReport(FlowReport),
 }
 
 /// Error for a datagram that can't be encoded or decoded as a message.
--- a/crates/lavenderseam_passthrough/src/segment.rs
+++ b/crates/lavenderseam_passthrough/src/segment.rs
@@ -32,6 +32,20 @@
 }
 
 impl Segment {
+    /// Creates a segment of a caller that only acknowledges data.
+    #[must_use]
+    pub fn acknowledgment_of(flow: Flow, acknowledgment: u32) -> Self {
+        Self {
+            flow,
+            flags: Flags {
+                ack: true,
+                ..Flags::default()
+            },
+            acknowledgment,
+            ..Self::default()
+        }
+    }
+
     /// Returns `true` if the segment requests a new flow, which is a SYN without ACK.
     #[must_use]
     pub const fn is_syn(&self) -> bool {
@@ -44,6 +58,16 @@
         self.is_syn() && self.acknowledgment != 0
     }
 
+    /// Returns the acknowledgment number, if it is valid.
+    #[must_use]
+    pub const fn acknowledged(&self) -> Option<u32> {
+        if self.flags.ack {
+            Some(self.acknowledgment)
+        } else {
+            None
+        }
+    }
+
     /// Returns the sequence number that follows the payload.
     #[must_use]
     pub fn payload_end(&self) -> u32 {
@@ -81,6 +105,14 @@
     pub fn acknowledges(&self, window_start: u32) -> bool {
         self.flags.ack && self.acknowledgment.wrapping_sub(window_start) <= MAX_BYTES_IN_FLIGHT
     }
+
+    /// Returns `true` if the segment may belong to the same connection as an earlier one that
+    /// acknowledged `earlier`, and not to a later connection between the same addresses.
+    #[must_use]
+    pub fn continues(&self, earlier: u32) -> bool {
+        let is_retransmission = earlier.wrapping_sub(self.acknowledgment) <= MAX_BYTES_IN_FLIGHT;
+        self.acknowledges(earlier) || (self.flags.ack && is_retransmission)
+    }
 }
 
 /// Data that one end has in flight at most: 16 packets of 1,200 bytes, times 4 for retransmissions
--- a/crates/lavenderseam_passthrough/tests/conclusions.rs
+++ b/crates/lavenderseam_passthrough/tests/conclusions.rs
@@ -15,7 +15,7 @@
     Action, Balancer, DiscardReason, Identity, Resolution, SearchAction, Verdict,
 };
 use lavenderseam_passthrough::desired::{
-    DesiredState, RegisteredAgent, Route, ServiceLimits, WeightedService,
+    DesiredState, RegisteredAgent, Repeatability, Route, ServiceLimits, WeightedService,
 };
 use lavenderseam_passthrough::message::{
     Announcement, FlowDenial, INCOMPLETE_TARGETS, Load, LocationQuery, LocationReply, Reason,
@@ -59,6 +59,7 @@
                 service: SERVICE.to_owned(),
                 weight: 1,
             }],
+            repeatability: Repeatability::AtMostOnce,
         };
         balancer.set_desired_state(DesiredState {
             revision: Revision(1),
--- a/crates/lavenderseam_passthrough/tests/simulation/mod.rs
+++ b/crates/lavenderseam_passthrough/tests/simulation/mod.rs
@@ -18,9 +18,9 @@
 use lavenderseam_core::catalog::Revision;
 use lavenderseam_core::time::Instant;
 use lavenderseam_passthrough::agent::{self, Agent, Heartbeat};
-use lavenderseam_passthrough::balancer::{self, Balancer};
+use lavenderseam_passthrough::balancer::{self, Balancer, Checkpoint};
 use lavenderseam_passthrough::desired::{
-    DesiredState, OutOfServiceDomains, Route, ServiceLimits, WeightedService,
+    DesiredState, OutOfServiceDomains, Repeatability, Route, ServiceLimits, WeightedService,
 };
 use lavenderseam_passthrough::flow::Flow;
 use lavenderseam_passthrough::message::Message;
@@ -122,6 +122,8 @@
     pub returned: u64,
     /// Agents that balancers have reported as silent.
     pub silent_agents: BTreeSet<SocketAddrV4>,
+    /// Open flows that balancers have written to the store, by partition.
+    pub checkpoints: BTreeMap<u32, Checkpoint>,
     /// Location queries that balancers have sent.
     pub queries: u64,
     /// Messages that the search for the owners of open flows has cost, and their bytes.
@@ -156,6 +158,7 @@
             one_way_cuts: BTreeSet::new(),
             returned: 0,
             silent_agents: BTreeSet::new(),
+            checkpoints: BTreeMap::new(),
             queries: 0,
             search_cost: SearchCost::default(),
             loss_percent: 0,
@@ -452,6 +455,18 @@
                             self.silent_agents.remove(&agent);
                         }
                     }
+                    balancer::Action::QueryFlows { agent, query } => {
+                        self.send(from, agent, Message::LocationQuery(query), None);
+                    }
+                    balancer::Action::ReportFlows { to, report } => {
+                        self.send(from, to, Message::FlowReport(report), None);
+                    }
+                    balancer::Action::WriteCheckpoint {
+                        partition,
+                        checkpoint,
+                    } => {
+                        self.checkpoints.insert(partition, checkpoint);
+                    }
                     balancer::Action::AgentExpired { .. } => {}
                 }
             }
@@ -533,6 +548,7 @@
                 service: SERVICE.to_owned(),
                 weight: 1,
             }],
+            repeatability: Repeatability::AtMostOnce,
         }],
         idle_timeout: Duration::from_secs(15),
     }
--- a/crates/lavenderseam_passthrough/tests/simulation/network.rs
+++ b/crates/lavenderseam_passthrough/tests/simulation/network.rs
@@ -6,6 +6,7 @@
 use lavenderseam_core::rank::score;
 use lavenderseam_passthrough::agent::{self, OutboundVerdict};
 use lavenderseam_passthrough::balancer::{Balancer, SearchAction, Verdict};
+use lavenderseam_passthrough::flow::Flow;
 use lavenderseam_passthrough::message::{Message, ReturnHeader};
 use lavenderseam_passthrough::segment::Segment;
 
@@ -39,18 +40,20 @@
             Verdict::Forward { agent, header } => {
                 self.send(from, agent, Message::Forward(header), Some(*segment));
             }
-            Verdict::Reset(_) => {
-                self.resets += 1;
-                let holds_flow = |node: &TargetNode| node.backend.holds_open(segment.flow);
-                if self.target_nodes.iter().any(holds_flow) {
-                    self.resets_of_held_flows.push(segment.flow);
-                }
-                self.schedule(CALLER_LATENCY_US, Event::Reset(segment.flow));
-            }
+            Verdict::Reset(_) => self.reset_flow(segment.flow),
             Verdict::Drop(_) => {}
         }
     }
 
+    fn reset_flow(&mut self, flow: Flow) {
+        self.resets += 1;
+        let holds_flow = |node: &TargetNode| node.backend.holds_open(flow);
+        if self.target_nodes.iter().any(holds_flow) {
+            self.resets_of_held_flows.push(flow);
+        }
+        self.schedule(CALLER_LATENCY_US, Event::Reset(flow));
+    }
+
     /// Advances the searches of a balancer.
     pub(super) fn poll_searches(&mut self, index: usize) {
         let now = self.instant();
@@ -84,6 +87,7 @@
                         }
                     }
                 }
+                SearchAction::ResetIdle { flow, .. } => self.reset_flow(flow),
             }
         }
         self.schedule_search(index);
@@ -147,7 +151,9 @@
             Message::Announcement(announcement) => {
                 let announced = balancer.on_announcement(&announcement, from, now);
                 self.send(own, from, Message::Hello(announced.reply), None);
+                self.apply_search(index, announced.actions);
             }
+            Message::FlowReport(report) => balancer.on_flow_report(&report, from, now),
             Message::Gossip(gossip) => balancer.on_gossip(&gossip, from, now),
             Message::Forward(_)
             | Message::Hello(_)
