Give the first reads of a silent store up sooner

The balancers' first read of the desired state, sent 0.27 s before the store's return, waited for its timeout of 1 s and a delay of 0.2 s, so that nothing was served for another 0.94 s (logs: start at 36.03 s, store back at 36.3 s, desired state at 37.24 s).

Change: until a balancer has a desired state, its reads of it have a timeout of 0.25 s and a delay of 0.1 s; both double with each fourth failure, up to a second. Other reads, and reads of balancers with a desired state, are as before.

--- a/crates/lavenderseam_node/src/balancer/records.rs
+++ b/crates/lavenderseam_node/src/balancer/records.rs
@@ -318,6 +318,12 @@
         });
     }
 
+    /// Returns `true` if the balancer has a desired state.
+    #[must_use]
+    pub fn has_desired_state(&self) -> bool {
+        self.driver.balancer.borrow().desired_state().is_some()
+    }
+
     /// Waits until the desired state requires checkpoints of open flows.
     pub async fn wait_for_checkpoints(&self) {
         let mut keeps_checkpoints = self.driver.keeps_checkpoints.subscribe();
--- a/crates/lavenderseam_passthrough/src/lib.rs
+++ b/crates/lavenderseam_passthrough/src/lib.rs
@@ -18,5 +18,6 @@
 pub mod desired;
 pub mod flow;
 pub mod message;
+pub mod read_schedule;
 pub mod segment;
 pub mod watch_schedule;
