Pause before the next watch during a series of changes

Cause: each change of the desired state ends the watches of all balancers.

Change: after a change that follows another one within a second, a balancer waits for 0.3 s before its next watch, which returns all changes since. A single change is read as before.

--- a/crates/lavenderseam_passthrough/src/watch_schedule.rs
+++ b/crates/lavenderseam_passthrough/src/watch_schedule.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use lavenderseam_core::random::Sequence;
+use lavenderseam_core::time::Instant;
 
 /// Maximum duration of a watch for each balancer; the mean time between two ends of watches among
 /// all balancers is half of it.
@@ -18,10 +19,17 @@
 /// Maximum duration of a watch.
 const MAX_DURATION: Duration = Duration::from_secs(20);
 
-/// Durations of the watches of one balancer.
+/// Time within which another change counts as part of a series.
+const SERIES_WINDOW: Duration = Duration::from_secs(1);
+/// Pause before the next watch during a series of changes, which then takes effect in fewer steps; a
+/// small part of the seconds within which a change must be in force.
+const SERIES_PAUSE: Duration = Duration::from_millis(300);
+
+/// Durations of the watches of one balancer, and the pauses between them.
 #[derive(Clone, Debug)]
 pub struct WatchSchedule {
     random: Sequence,
+    changed_at: Option<Instant>,
 }
 
 impl WatchSchedule {
@@ -31,6 +39,21 @@
         let seed = u64::from(balancer.ip().to_bits()) << 16 | u64::from(balancer.port());
         Self {
             random: Sequence::new(seed),
+            changed_at: None,
+        }
+    }
+
+    /// Records that a watch has returned a change, and returns the pause before the next one.
+    ///
+    /// Each change ends the watches of all balancers, so a series of changes would cost a call for
+    /// each change and balancer.
+    pub fn on_change(&mut self, now: Instant) -> Duration {
+        let last = self.changed_at.replace(now);
+        let is_series = last.is_some_and(|last| now.since(last) < SERIES_WINDOW);
+        if is_series {
+            SERIES_PAUSE
+        } else {
+            Duration::ZERO
         }
     }
 
--- a/crates/lavenderseam_passthrough/tests/watch_schedule.rs
+++ b/crates/lavenderseam_passthrough/tests/watch_schedule.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use googletest::prelude::*;
+use lavenderseam_core::time::Instant;
 use lavenderseam_passthrough::watch_schedule::WatchSchedule;
 
 fn schedules(count: u8) -> Vec<WatchSchedule> {
@@ -54,3 +55,39 @@
     expect_that!(mean, ge(Duration::from_secs(15)));
     expect_that!(mean, le(schedule.longest()));
 }
+
+/// Operators apply 25 versions within two seconds, each of which ends the watch of every balancer.
+#[gtest]
+fn a_series_of_changes_ends_few_watches() {
+    const GAP_MS: u64 = 80;
+    const CHANGES: u64 = 25;
+    let mut schedule = schedules(1).remove(0);
+    let mut watches = 0;
+    let mut watching_from_ms = 0;
+    let mut seen = 0;
+    while seen < CHANGES {
+        // A watch returns all changes since the last one, or waits for the next.
+        let made = (watching_from_ms / GAP_MS).min(CHANGES);
+        let now_ms = if made > seen {
+            watching_from_ms
+        } else {
+            (seen + 1) * GAP_MS
+        };
+        seen = now_ms / GAP_MS;
+        watches += 1;
+        let now = Instant(1_000_000 + now_ms * 1_000);
+        watching_from_ms = now_ms + schedule.on_change(now).as_millis() as u64;
+    }
+    expect_that!(watches, le(9));
+    expect_that!(watching_from_ms, le(CHANGES * GAP_MS + 600));
+}
+
+/// A single change costs one call, and the next watch must not start later than before.
+#[gtest]
+fn a_single_change_causes_no_pause() {
+    let mut schedule = schedules(1).remove(0);
+    for seconds in [1, 3, 5] {
+        let pause = schedule.on_change(Instant(seconds * 1_000_000));
+        expect_that!(pause, eq(Duration::ZERO));
+    }
+}
