Renew the watches of orders at random times

Where a share of the connections lives, or few balancers end their other watches within 2 s, gossip hides it.

Change: these watches last for a random time, 0.75 s a balancer in the mean and 20 s at most, so that some balancer renews its own soon and gossip tells the others.

--- a/crates/lavenderseam_passthrough/src/watch_schedule.rs
+++ b/crates/lavenderseam_passthrough/src/watch_schedule.rs
@@ -3,7 +3,8 @@
 //! A watch may outlive an outage of the store, and with it a restore from a copy, after which it
 //! waits for a revision that the store assigns to another change. So balancers end their watches
 //! of one kind of records early, in turn: the first answer of a restored store shows the new epoch,
-//! and gossip tells the others.
+//! and gossip tells the others. The watches of other kinds are renewed at random times for a similar
+//! reason: connections may go silent for good, and nothing shows that but a new one.
 
 use std::net::SocketAddrV4;
 use std::time::Duration;
@@ -14,6 +15,8 @@
 /// Maximum duration of a watch for each balancer; the mean time between two ends of watches among
 /// all balancers is half of it.
 const DURATION_PER_BALANCER: Duration = Duration::from_millis(500);
+/// The same for watches that only a silent connection makes it necessary to renew.
+const RENEWAL_PER_BALANCER: Duration = Duration::from_millis(1_500);
 /// Minimum duration of a watch.
 const MIN_DURATION: Duration = Duration::from_millis(500);
 /// Maximum duration of a watch.
@@ -57,10 +60,14 @@
         }
     }
 
-    /// Returns the duration of a watch that only a change needs to end.
-    #[must_use]
-    pub const fn longest(&self) -> Duration {
-        MAX_DURATION
+    /// Returns the duration of the next watch that must be renewed only because its connection may
+    /// have gone silent for good; `balancers` is the number of all balancers.
+    ///
+    /// The duration is random, so that soon after all connections have gone silent, some balancer
+    /// watches on a new one, and its gossip tells the others.
+    pub fn next_renewal(&mut self, balancers: usize) -> Duration {
+        let longest = longest_duration(RENEWAL_PER_BALANCER, balancers).min(MAX_DURATION);
+        self.random_duration(longest)
     }
 
     /// Returns the duration of the next watch that ends in turn with those of other balancers;
@@ -69,9 +76,15 @@
     /// The duration is random, so that balancers whose watches all end at a change don't ask again
     /// at the same time.
     pub fn next_in_turn(&mut self, balancers: usize) -> Duration {
-        let balancers = u32::try_from(balancers).unwrap_or(u32::MAX);
-        let longest = DURATION_PER_BALANCER.saturating_mul(balancers);
+        self.random_duration(longest_duration(DURATION_PER_BALANCER, balancers))
+    }
+
+    fn random_duration(&mut self, longest: Duration) -> Duration {
         let duration = longest.mul_f64(self.random.next_fraction());
         duration.clamp(MIN_DURATION, MAX_DURATION)
     }
 }
+
+fn longest_duration(per_balancer: Duration, balancers: usize) -> Duration {
+    per_balancer.saturating_mul(u32::try_from(balancers).unwrap_or(u32::MAX))
+}
--- a/crates/lavenderseam_passthrough/tests/watch_schedule.rs
+++ b/crates/lavenderseam_passthrough/tests/watch_schedule.rs
@@ -53,7 +53,7 @@
         .sum::<Duration>()
         / 100;
     expect_that!(mean, ge(Duration::from_secs(15)));
-    expect_that!(mean, le(schedule.longest()));
+    expect_that!(mean, le(Duration::from_secs(20)));
 }
 
 /// Operators apply 25 versions within two seconds, each of which ends the watch of every balancer.
@@ -91,3 +91,29 @@
         expect_that!(pause, eq(Duration::ZERO));
     }
 }
+
+/// Returns the time from `at` until the first balancer renews its watch.
+fn time_to_renewal(count: u8, at: Duration) -> Duration {
+    let residual = |mut schedule: WatchSchedule| {
+        let mut ends_at = Duration::ZERO;
+        while ends_at <= at {
+            ends_at += schedule.next_renewal(usize::from(count));
+        }
+        ends_at - at
+    };
+    let residuals = schedules(count).into_iter().map(residual);
+    residuals.min().unwrap_or_default()
+}
+
+/// All connections to the store go silent for good, and operators then take a failure domain out. The
+/// order must be in force within 5 s, of which gossip takes 0.5 s.
+#[gtest]
+fn some_watch_is_renewed_soon_after_all_connections_have_gone_silent() {
+    const MOMENTS: u64 = 1_000;
+    for count in [4, 7, 23, 59] {
+        let moments = (0..MOMENTS).map(|index| Duration::from_millis(10 + index * 97));
+        let late = moments.filter(|at| time_to_renewal(count, *at) > Duration::from_millis(4_500));
+        // A share of the moments, because the renewals of few balancers are random.
+        expect_that!(late.count() as u64, le(MOMENTS / 100), "{count} balancers");
+    }
+}
