Log which agent denied an idle flow that is reset

A reset of an idle flow had the line of a packet, though no packet was in hand, and didn't tell whose denial it rests on. It has a line of its own now, with the owner and the time for which the balancer knew the flow.

--- a/crates/lavenderseam_node/src/balancer/driver.rs
+++ b/crates/lavenderseam_node/src/balancer/driver.rs
@@ -201,18 +201,20 @@
                 self.process.send(&Message::Forward(header), bytes, agent);
             }
             Verdict::Hold => self.hold_packet(segment, bytes, now),
-            Verdict::Reset(reason) => self.reset_flow(segment, reason, now),
+            Verdict::Reset(reason) => {
+                self.log_unroutable(segment, PacketAction::Reset, reason, now);
+                self.send_reset(segment, reason);
+            }
             Verdict::Drop(reason) => self.drop_packet(segment, reason, now),
         }
     }
 
-    /// Resets the flow of a packet at its caller.
-    fn reset_flow(&self, segment: &Segment, reason: DiscardReason, now: Instant) {
+    /// Resets the flow of a packet at its caller, and counts the reset.
+    fn send_reset(&self, segment: &Segment, reason: DiscardReason) {
         let label = CauseLabel {
             cause: DisplayLabel(reason),
         };
         self.process.metrics.resets.get_or_create(&label).inc();
-        self.log_unroutable(segment, PacketAction::Reset, reason, now);
         let mut reset = self.reset_buffer.borrow_mut();
         self.codec.encode_reset(segment, &mut reset);
         let caller = self.codec.caller_address(segment);
@@ -256,10 +258,20 @@
                 SearchAction::ResetIdle {
                     flow,
                     acknowledgment,
+                    owner,
+                    known_for,
                     reason,
                 } => {
+                    let event = || Event::IdleFlowReset {
+                        flow,
+                        owner,
+                        known_ms: known_for.as_millis() as u64,
+                        reason,
+                    };
+                    let key = LogKey::idle_flow_reset(reason);
+                    self.process.log.write_lazy(key, event, now);
                     let last_segment = Segment::acknowledgment_of(flow, acknowledgment);
-                    self.reset_flow(&last_segment, reason, now);
+                    self.send_reset(&last_segment, reason);
                 }
             }
         }
--- a/crates/lavenderseam_node/src/log/event.rs
+++ b/crates/lavenderseam_node/src/log/event.rs
@@ -221,6 +221,19 @@
         #[serde(skip_serializing_if = "Option::is_none")]
         premises: Option<Premises>,
     },
+    /// A balancer resets a flow whose caller has sent no packet since the flow ended.
+    #[serde(rename = "reset_idle")]
+    IdleFlowReset {
+        /// Flow that has ended.
+        flow: Flow,
+        /// Agent that had confirmed the flow and denies it now.
+        owner: SocketAddrV4,
+        /// Time for which the balancer has known the flow, in milliseconds.
+        known_ms: u64,
+        /// Why the flow is reset.
+        #[serde(rename = "cause")]
+        reason: DiscardReason,
+    },
     /// A balancer has received a packet that an agent returned undelivered.
     #[serde(rename = "returned")]
     ReturnReceived {
@@ -344,6 +357,15 @@
         }
     }
 
+    /// Returns the key of idle flows that a balancer resets, by cause.
+    #[must_use]
+    pub const fn idle_flow_reset(reason: DiscardReason) -> Self {
+        Self {
+            kind: "reset_idle",
+            reason: reason.name(),
+        }
+    }
+
     /// Returns the key of packets that a balancer received back from agents, by reason.
     #[must_use]
     pub const fn return_received(reason: Reason) -> Self {
@@ -374,6 +396,7 @@
             Self::UnroutablePacket { reason, .. } => {
                 return Some(LogKey::unroutable_packet(*reason));
             }
+            Self::IdleFlowReset { reason, .. } => return Some(LogKey::idle_flow_reset(*reason)),
             Self::ReturnReceived { reason, .. } => return Some(LogKey::return_received(*reason)),
             Self::ReturnSent { reason, .. } => return Some(LogKey::return_sent(*reason)),
             Self::RequestUnanswered { .. } => ("broken", ""),
--- a/crates/lavenderseam_passthrough/src/balancer/resolution.rs
+++ b/crates/lavenderseam_passthrough/src/balancer/resolution.rs
@@ -1,6 +1,7 @@
 //! Actions of the search for the owners of flows.
 
 use std::net::SocketAddrV4;
+use std::time::Duration;
 
 use super::{DiscardReason, Verdict};
 use crate::flow::Flow;
@@ -37,6 +38,10 @@
         flow: Flow,
         /// Last acknowledgment of the caller.
         acknowledgment: u32,
+        /// Agent that had confirmed the flow and denies it now.
+        owner: SocketAddrV4,
+        /// Time for which the balancer has known the flow.
+        known_for: Duration,
         /// Why the flow is reset.
         reason: DiscardReason,
     },
--- a/crates/lavenderseam_passthrough/src/balancer/revalidation.rs
+++ b/crates/lavenderseam_passthrough/src/balancer/revalidation.rs
@@ -153,7 +153,7 @@
             if reply.held.contains(&index) {
                 self.confirm_known(probe.flow, target);
             } else if !reply.unverified.contains(&index) {
-                actions.extend(self.reset_lost(&probe, target));
+                actions.extend(self.reset_lost(&probe, target, now));
             }
         }
         let revalidation = self.revalidations.in_progress.remove(&target)?;
@@ -204,7 +204,12 @@
     ///
     /// The denial says nothing about a flow that its caller has used since the question: the port may
     /// belong to a later flow by now.
-    fn reset_lost(&mut self, denied: &FlowProbe, owner: TargetId) -> Option<SearchAction> {
+    fn reset_lost(
+        &mut self,
+        denied: &FlowProbe,
+        owner: TargetId,
+        now: Instant,
+    ) -> Option<SearchAction> {
         let flow = denied.flow;
         let acknowledgment = denied.acknowledgment?;
         let entry = self.cache.peek(flow)?;
@@ -212,6 +217,8 @@
         if entry.target != owner || entry.state != OwnerState::Confirmed || !is_unused {
             return None;
         }
+        let known_for = now.since(entry.first_sent);
+        let owner = self.targets.get(owner)?.agent;
         self.cache.remove(flow);
         let reason = DiscardReason::DeniedByOwner;
         if self.searches.holds(flow) {
@@ -221,6 +228,8 @@
         Some(SearchAction::ResetIdle {
             flow,
             acknowledgment,
+            owner,
+            known_for,
             reason,
         })
     }
