Ignore checkpoints with more flows than a balancer reports

A record that something else has written could fill a balancer's cache and make it ask about any number of flows. It is logged as malformed now, and nothing is restored from it. Flows that their callers have closed are no longer asked about after a restart of their agent. A full report of flows is tested to fit into a datagram.

--- a/crates/lavenderseam_node/src/balancer/records.rs
+++ b/crates/lavenderseam_node/src/balancer/records.rs
@@ -335,10 +335,14 @@
     pub fn restore_checkpoint(&self, checkpoint: &Checkpoint) {
         let driver = &self.driver;
         let now = driver.process.clock.now();
-        let (restored, actions) = driver
+        let restored = driver
             .balancer
             .borrow_mut()
             .restore_checkpoint(checkpoint, now);
+        let (restored, actions) = match restored {
+            Ok(restored) => restored,
+            Err(error) => return self.record_malformed_record(&error),
+        };
         driver.process.log(&Event::CheckpointRestored {
             flows: checkpoint.len(),
             restored,
--- a/crates/lavenderseam_passthrough/src/balancer/checkpoint.rs
+++ b/crates/lavenderseam_passthrough/src/balancer/checkpoint.rs
@@ -11,6 +11,7 @@
 //! costs a question to its owner, and a missing one leaves its caller to its own timeouts.
 
 use std::collections::BTreeMap;
+use std::fmt;
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
@@ -51,6 +52,10 @@
     pub u32,
 );
 
+/// Error for a record that no balancer of this version has written; holds the number of its flows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct TooManyFlows(pub usize);
+
 /// Flows that this balancer reports, and those that it collects.
 #[derive(Debug, Default)]
 pub(crate) struct Checkpoints {
@@ -73,6 +78,18 @@
     flows: FlowMap<(KnownFlow, u64)>,
 }
 
+impl fmt::Display for TooManyFlows {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            formatter,
+            "checkpoint holds {} flows of this balancer, more than it reports",
+            self.0
+        )
+    }
+}
+
+impl std::error::Error for TooManyFlows {}
+
 impl CollectedFlows {
     fn on_report(&mut self, report: &FlowReport, now: Instant) {
         if report.round != self.round {
@@ -131,14 +148,23 @@
         self.routes.run_at_most_once()
     }
 
-    /// Restores the flows that this balancer had reported, and returns questions to their owners.
+    /// Restores the flows that this balancer had reported; returns their number, and questions to
+    /// their owners.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`TooManyFlows`] if the record holds more flows of this balancer than it reports, and
+    /// restores none.
     pub fn restore_checkpoint(
         &mut self,
         checkpoint: &Checkpoint,
         now: Instant,
-    ) -> (usize, Vec<SearchAction>) {
+    ) -> Result<(usize, Vec<SearchAction>), TooManyFlows> {
         let stored = checkpoint.flows.get(&self.identity.address);
         let stored = stored.map_or(&[][..], Vec::as_slice);
+        if stored.len() > self.settings.max_reported_flows {
+            return Err(TooManyFlows(stored.len()));
+        }
         let mut restored = 0;
         for StoredFlow(flow, target, acknowledgment) in stored {
             let known = self.cache.peek(*flow).map(|entry| entry.state);
@@ -156,7 +182,7 @@
             self.targets.mark_restarted(*target);
             restored += 1;
         }
-        (restored, self.start_revalidations(now))
+        Ok((restored, self.start_revalidations(now)))
     }
 
     /// Returns the reports and writes of open flows that are due.
--- a/crates/lavenderseam_passthrough/src/balancer/mod.rs
+++ b/crates/lavenderseam_passthrough/src/balancer/mod.rs
@@ -50,7 +50,7 @@
 use cache::FlowCache;
 pub use certainty::Premises;
 use checkpoint::Checkpoints;
-pub use checkpoint::{Checkpoint, StoredFlow};
+pub use checkpoint::{Checkpoint, StoredFlow, TooManyFlows};
 use out_of_service::OutOfService;
 use peers::Peers;
 use registrations::Registrations;
--- a/crates/lavenderseam_passthrough/src/balancer/revalidation.rs
+++ b/crates/lavenderseam_passthrough/src/balancer/revalidation.rs
@@ -11,6 +11,7 @@
 //! still without power doesn't delay the reset.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
 
 use lavenderseam_core::time::Instant;
 
@@ -59,7 +60,7 @@
 
 impl Revalidations {
     /// Returns the time at which a query must be repeated; `None` if none waits for its answer.
-    pub(super) fn next_at(&self, interval: std::time::Duration) -> Option<Instant> {
+    pub(super) fn next_at(&self, interval: Duration) -> Option<Instant> {
         let sent_at = self.in_progress.values().map(|check| check.sent_at);
         sent_at.map(|sent_at| sent_at + interval).min()
     }
@@ -90,6 +91,7 @@
             entry.target == target
                 && entry.state == OwnerState::Confirmed
                 && entry.acknowledgment.is_some()
+                && !entry.is_closing
         });
         let remaining: Vec<Flow> = confirmed.map(|(flow, _)| flow).collect();
         self.ask_about_next(target, Revalidation::new(remaining, now), now)
--- a/crates/lavenderseam_passthrough/tests/checkpoint.rs
+++ b/crates/lavenderseam_passthrough/tests/checkpoint.rs
@@ -10,7 +10,7 @@
 use fixture::pool::{Pool, agent_address};
 use fixture::{BACKEND_ISN, BALANCER, at_ms, flow, request};
 use googletest::prelude::*;
-use lavenderseam_passthrough::balancer::{Action, Checkpoint, StoredFlow};
+use lavenderseam_passthrough::balancer::{Action, Checkpoint, StoredFlow, TooManyFlows};
 use lavenderseam_passthrough::desired::Repeatability;
 use lavenderseam_passthrough::message::{FlowReport, KnownFlow, TargetId, TargetState};
 
@@ -64,7 +64,10 @@
     let last = written.last().unwrap();
 
     let mut restarted = Pool::without_targets(BALANCER, Repeatability::AtMostOnce);
-    let (restored, questions) = restarted.balancer.restore_checkpoint(last, at_ms(10));
+    let (restored, questions) = restarted
+        .balancer
+        .restore_checkpoint(last, at_ms(10))
+        .unwrap();
     expect_that!(restored, eq(2));
     expect_that!(questions, is_empty());
     let questions = restarted.announce(1, 2, TargetState::Ready, 100);
@@ -78,7 +81,8 @@
 fn restored_flows_of_running_backend_servers_are_kept() {
     let mut pool = Pool::without_targets(BALANCER, Repeatability::AtMostOnce);
     pool.balancer
-        .restore_checkpoint(&checkpoint_of(BALANCER, &[1]), at_ms(10));
+        .restore_checkpoint(&checkpoint_of(BALANCER, &[1]), at_ms(10))
+        .unwrap();
     let questions = pool.announce(1, 2, TargetState::Ready, 100);
     let (resets, _) = pool.answer(&questions[0], &[], &[0], 105);
     expect_that!(resets, is_empty());
@@ -89,7 +93,10 @@
 fn flows_of_other_balancers_are_not_restored() {
     let mut pool = Pool::without_targets(BALANCER, Repeatability::AtMostOnce);
     let checkpoint = checkpoint_of(peer(9), &[1]);
-    let (restored, _) = pool.balancer.restore_checkpoint(&checkpoint, at_ms(10));
+    let (restored, _) = pool
+        .balancer
+        .restore_checkpoint(&checkpoint, at_ms(10))
+        .unwrap();
     expect_that!(restored, eq(0));
 }
 
@@ -103,7 +110,10 @@
             vec![StoredFlow(flow(1), TargetId::new(agent_address(2)), 1)],
         )]),
     };
-    let (restored, _) = pool.balancer.restore_checkpoint(&checkpoint, at_ms(800));
+    let (restored, _) = pool
+        .balancer
+        .restore_checkpoint(&checkpoint, at_ms(800))
+        .unwrap();
     expect_that!(restored, eq(0));
 }
 
@@ -112,11 +122,24 @@
 fn flows_of_unknown_targets_cause_no_question() {
     let mut pool = Pool::without_targets(BALANCER, Repeatability::AtMostOnce);
     pool.balancer
-        .restore_checkpoint(&checkpoint_of(BALANCER, &[1]), at_ms(10));
+        .restore_checkpoint(&checkpoint_of(BALANCER, &[1]), at_ms(10))
+        .unwrap();
     expect_that!(pool.announce(2, 1, TargetState::Ready, 100).len(), eq(0));
     expect_that!(pool.balancer.poll_searches(at_ms(200)), is_empty());
 }
 
+/// Something else has written the record, or a version without a bound.
+#[gtest]
+fn a_record_with_too_many_flows_is_ignored() {
+    let ports: Vec<u16> = (1..=300).collect();
+    let mut pool = Pool::without_targets(BALANCER, Repeatability::AtMostOnce);
+    let checkpoint = checkpoint_of(BALANCER, &ports);
+    let result = pool.balancer.restore_checkpoint(&checkpoint, at_ms(10));
+    expect_that!(result, err(eq(&TooManyFlows(300))));
+    expect_that!(pool.balancer.cached_flows(), eq(0));
+    expect_that!(pool.announce(1, 2, TargetState::Ready, 100).len(), eq(0));
+}
+
 /// A balancer that has just started would replace the flows that others haven't read yet.
 #[gtest]
 fn a_balancer_that_has_just_started_writes_nothing() {
--- a/crates/lavenderseam_passthrough/tests/messages.rs
+++ b/crates/lavenderseam_passthrough/tests/messages.rs
@@ -5,8 +5,8 @@
 
 use lavenderseam_passthrough::flow::Flow;
 use lavenderseam_passthrough::message::{
-    Announcement, AttemptedTargets, FlowConfirmation, ForwardHeader, Load, Message, Reason,
-    ReturnHeader, ServiceId, TargetId, TargetState,
+    Announcement, AttemptedTargets, FlowConfirmation, FlowReport, ForwardHeader, KnownFlow, Load,
+    MAX_FLOWS_PER_REPORT, Message, Reason, ReturnHeader, ServiceId, TargetId, TargetState,
 };
 use proptest::prelude::*;
 
@@ -116,3 +116,23 @@
     let error = "nonsense".parse::<Flow>().unwrap_err();
     assert!(error.to_string().contains("nonsense"));
 }
+
+/// A report that exceeds a datagram would be fragmented or lost.
+#[test]
+fn a_full_report_of_flows_fits_into_a_datagram() {
+    let address = SocketAddrV4::new(Ipv4Addr::BROADCAST, u16::MAX);
+    let known = KnownFlow {
+        flow: Flow::new(address, address),
+        target: TargetId(u32::MAX),
+        acknowledgment: u32::MAX,
+    };
+    let message = Message::FlowReport(FlowReport {
+        round: u64::MAX,
+        writes: true,
+        flows: vec![known; MAX_FLOWS_PER_REPORT],
+    });
+    let mut buffer = Vec::new();
+    message.encode(&[], &mut buffer).unwrap();
+    assert!(buffer.len() <= 1_400, "{} bytes", buffer.len());
+    assert_eq!(Message::decode(&buffer), Ok((message, &[][..])));
+}
