review: reserve the network of a script for its whole run

Cause: two scripts that started together could pick the same loopback network; one of them couldn't run. Change: each holds an address of its network until its end.

--- a/review/standins.py
+++ b/review/standins.py
@@ -343,7 +343,10 @@
         numbers = list(range(40, 220))
         random.shuffle(numbers)
         for number in numbers:
+            # Held until the end, so that no other script takes the same network at the same time.
+            self.claim = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
             try:
+                self.claim.bind((f"127.{number}.250.1", DATAGRAM))
                 for third in (1, 2, 9, 64):
                     with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as probe:
                         probe.bind((f"127.{number}.{third}.1", DATAGRAM))
@@ -352,7 +355,7 @@
                         probe.bind((f"127.{number}.{third}.1", STORE))
                 return number
             except OSError:
-                continue
+                self.claim.close()
         raise CannotRun("no free loopback network")
 
     def ip(self, third, fourth):
