Track idle flows for the maximum age of a flow

Cause: an agent that has seen its backend server start denies all flows that it doesn't track, and it stopped tracking flows that were idle for 40 s. That rests on the premise that no operator sets a longer idle timeout. Ruled out: a conclusion of the balancer (its cause would be unowned), a reused port, a restarted agent.

Change: an agent tracks an idle flow for the maximum age of a flow, which the settings give (an hour if they don't). A flow that was idle for that long is older than any flow may be, so the idle timeout no longer matters, also if it changes while flows are open, and no message or store is needed. Balancers remember silent agents for at least as long, because they conclude without an agent that they have removed. The age in the settings may change without a restart. New: log event `expired`, counter `expired`, idle timeout in the event `desired`, mutant EARLY_EXPIRY of the model of pass-through flows.

--- a/crates/lavenderseam_node/src/agent/driver.rs
+++ b/crates/lavenderseam_node/src/agent/driver.rs
@@ -22,7 +22,7 @@
 use crate::http::{Request, Service, ServiceResponse};
 use crate::log::{DependencyChange, Event, LogKey};
 use crate::metrics::{DisplayLabel, ReasonLabel};
-use crate::process::ProcessContext;
+use crate::process::{ProcessContext, ReloadedSettings};
 use crate::socket::DatagramSocket;
 
 /// Timeout of a liveness probe, which connects to the backend server on the same VM.
@@ -69,6 +69,14 @@
         }
     }
 
+    /// Applies the settings that may change while the process runs.
+    pub(crate) fn apply_settings(&self, settings: &ReloadedSettings) {
+        self.add_seeds(&settings.seeds);
+        if let Some(max_flow_age) = settings.max_flow_age {
+            self.agent.borrow_mut().set_max_flow_age(max_flow_age);
+        }
+    }
+
     /// Receives and handles messages of balancers forever.
     pub(crate) async fn receive_messages(&self) {
         self.process
@@ -147,6 +155,13 @@
                         let task_driver = Rc::clone(&self);
                         tokio::task::spawn_local(async move { task_driver.probe().await });
                     }
+                    Action::FlowsExpired { flows, max_age } => {
+                        self.process.metrics.expired.inc_by(flows as u64);
+                        self.process.log(&Event::FlowsExpired {
+                            flows,
+                            max_age_ms: max_age.as_millis() as u64,
+                        });
+                    }
                 }
             }
             self.update_metrics(now);
--- a/crates/lavenderseam_node/src/agent/mod.rs
+++ b/crates/lavenderseam_node/src/agent/mod.rs
@@ -17,7 +17,7 @@
 use crate::codec::PacketCodec;
 use crate::http::{self, Service};
 use crate::log::Event;
-use crate::process::{ProcessContext, RELOAD_INTERVAL, TICK_INTERVAL};
+use crate::process::{ProcessContext, RELOAD_INTERVAL, ReloadedSettings, TICK_INTERVAL};
 use crate::socket::DatagramSocket;
 use crate::unix_signals::{SignalAction, SignalListener};
 use driver::Driver;
@@ -57,6 +57,8 @@
     /// Time between an acknowledged heartbeat of the backend server and the next one; 0 if it is
     /// unknown.
     pub heartbeat_interval: Duration,
+    /// Maximum age of a flow; `None` if there is none.
+    pub max_flow_age: Option<Duration>,
 }
 
 /// Handle to a running agent, for the service that handles its backend server's calls.
@@ -84,7 +86,7 @@
 /// Runs an agent until a signal stops it; must run within a `LocalSet`.
 ///
 /// `create_service` creates the service that handles the backend server's calls. `reload` reads the
-/// settings again and returns the new seeds, an error, or `None` if nothing has changed.
+/// settings again and returns the new ones, an error, or `None` if nothing has changed.
 ///
 /// # Errors
 ///
@@ -100,7 +102,7 @@
     C: PacketCodec,
     D: Directory,
     S: Service + 'static,
-    R: Fn() -> Option<Result<Vec<SocketAddrV4>, E>>,
+    R: Fn() -> Option<Result<ReloadedSettings, E>>,
     E: Error,
 {
     let mut signals = SignalListener::new()?;
@@ -132,7 +134,10 @@
         driver: Rc::clone(&driver),
     };
     http::serve(settings.control_address, create_service(handle)).await?;
-    driver.add_seeds(&settings.seeds);
+    driver.apply_settings(&ReloadedSettings {
+        seeds: settings.seeds,
+        max_flow_age: settings.max_flow_age,
+    });
     driver.process.log(&Event::Start {
         role: "agent",
         domain: settings.domain,
@@ -162,7 +167,11 @@
         };
         match action {
             SignalAction::Stop => break,
-            SignalAction::Reload => driver.add_seeds(&driver.process.record_reload(reload())),
+            SignalAction::Reload => {
+                if let Some(reloaded) = driver.process.record_reload(reload()) {
+                    driver.apply_settings(&reloaded);
+                }
+            }
         }
     }
     // Flows terminate at the backend server on this VM, so no other agent can take them over.
--- a/crates/lavenderseam_node/src/balancer/mod.rs
+++ b/crates/lavenderseam_node/src/balancer/mod.rs
@@ -18,7 +18,7 @@
 use crate::codec::PacketCodec;
 use crate::http;
 use crate::log::Event;
-use crate::process::{ProcessContext, RELOAD_INTERVAL, TICK_INTERVAL};
+use crate::process::{ProcessContext, RELOAD_INTERVAL, ReloadedSettings, TICK_INTERVAL};
 use crate::socket::DatagramSocket;
 use crate::unix_signals::{SignalAction, SignalListener};
 use driver::Driver;
@@ -43,6 +43,8 @@
     pub seeds: Vec<SocketAddrV4>,
     /// Maximum duration of a graceful shutdown.
     pub grace_period: Duration,
+    /// Maximum age of a flow; `None` if there is none.
+    pub max_flow_age: Option<Duration>,
 }
 
 /// What the balancer requests to be written to the store.
@@ -63,7 +65,8 @@
 /// Runs a balancer until a signal stops it; must run within a `LocalSet`.
 ///
 /// `source` is spawned as a task that passes records to the balancer through the handle, and writes
-/// what the balancer requests to the store. `reload` reads the settings again and returns the new seeds, an error, or `None` if nothing has changed.
+/// what the balancer requests to the store. `reload` reads the settings again and returns the new
+/// ones, an error, or `None` if nothing has changed.
 ///
 /// # Errors
 ///
@@ -77,7 +80,7 @@
 where
     C: PacketCodec,
     F: Future<Output = ()> + 'static,
-    R: Fn() -> Option<Result<Vec<SocketAddrV4>, E>>,
+    R: Fn() -> Option<Result<ReloadedSettings, E>>,
     E: Error,
 {
     let mut signals = SignalListener::new()?;
@@ -115,7 +118,10 @@
         records::RecordsService(Rc::clone(&driver)),
     )
     .await?;
-    driver.add_seeds(&settings.seeds);
+    driver.apply_settings(&ReloadedSettings {
+        seeds: settings.seeds,
+        max_flow_age: settings.max_flow_age,
+    });
     driver.process.log(&Event::Start {
         role: "balancer",
         domain: settings.domain,
@@ -144,7 +150,11 @@
         };
         match action {
             SignalAction::Stop => break,
-            SignalAction::Reload => driver.add_seeds(&driver.process.record_reload(reload())),
+            SignalAction::Reload => {
+                if let Some(reloaded) = driver.process.record_reload(reload()) {
+                    driver.apply_settings(&reloaded);
+                }
+            }
         }
     }
     driver.stop(settings.grace_period).await;
--- a/crates/lavenderseam_node/src/balancer/records.rs
+++ b/crates/lavenderseam_node/src/balancer/records.rs
@@ -176,6 +176,7 @@
         };
         let routes = desired_state.routes.len();
         let services = desired_state.services.clone();
+        let idle_ms = desired_state.idle_timeout.as_millis() as u64;
         if self.balancer.borrow_mut().set_desired_state(desired_state) {
             let keeps_checkpoints = self.balancer.borrow().keeps_checkpoints();
             self.keeps_checkpoints.send_replace(keeps_checkpoints);
@@ -184,6 +185,7 @@
                 version,
                 routes,
                 services,
+                idle_ms,
                 source: source.name(),
             });
             self.update_status();
--- a/crates/lavenderseam_node/src/lib.rs
+++ b/crates/lavenderseam_node/src/lib.rs
@@ -16,3 +16,5 @@
 mod process;
 mod socket;
 pub mod unix_signals;
+
+pub use process::ReloadedSettings;
--- a/crates/lavenderseam_node/src/log/event.rs
+++ b/crates/lavenderseam_node/src/log/event.rs
@@ -96,6 +96,8 @@
         routes: usize,
         /// Limits of each service's backend servers, by service name.
         services: BTreeMap<String, ServiceLimits>,
+        /// Idle time after which a flow may be removed, in milliseconds.
+        idle_ms: u64,
         /// Where the desired state came from: `store` or `balancer`.
         source: &'static str,
     },
@@ -275,6 +277,14 @@
         /// Load of the target after the flow has ended.
         load: Load,
     },
+    /// An agent no longer tracks flows that were idle for the maximum age of a flow, and denies them.
+    #[serde(rename = "expired")]
+    FlowsExpired {
+        /// Number of flows.
+        flows: usize,
+        /// Maximum age of a flow, in milliseconds.
+        max_age_ms: u64,
+    },
     /// The state of an agent's backend server has changed.
     #[serde(rename = "backend")]
     BackendStateChanged {
@@ -400,6 +410,7 @@
             Self::ReturnReceived { reason, .. } => return Some(LogKey::return_received(*reason)),
             Self::ReturnSent { reason, .. } => return Some(LogKey::return_sent(*reason)),
             Self::RequestUnanswered { .. } => ("broken", ""),
+            Self::FlowsExpired { .. } => ("expired", ""),
             Self::Dependency { name, .. } => ("dependency", *name),
             Self::StoreRestored { source, .. } => ("restored", *source),
             Self::Desired { source, .. } => ("desired", *source),
--- a/crates/lavenderseam_node/src/metrics.rs
+++ b/crates/lavenderseam_node/src/metrics.rs
@@ -86,6 +86,9 @@
     pub store_epoch: Gauge,
     /// Number of flows that the process tracks.
     pub flows: Gauge,
+    /// Number of flows that an agent no longer tracks because they were idle for the maximum age of a
+    /// flow.
+    pub expired: Counter,
     /// Number of request slots in use: by flows that wait for an answer, or by failed requests.
     pub busy: Gauge,
     /// Mean number of requests at the backend server, as counted from the packets of each flow.
@@ -161,6 +164,11 @@
             self.store_epoch.clone(),
         );
         registry.register("flows", "Flows known", self.flows.clone());
+        registry.register(
+            "expired",
+            "Idle flows no longer tracked",
+            self.expired.clone(),
+        );
         registry.register("busy", "Flows that wait for an answer", self.busy.clone());
         registry.register(
             "pending_mean",
--- a/crates/lavenderseam_node/src/process.rs
+++ b/crates/lavenderseam_node/src/process.rs
@@ -18,6 +18,15 @@
 /// Interval at which the settings are read again, for changes that no signal announced.
 pub(crate) const RELOAD_INTERVAL: Duration = Duration::from_secs(2);
 
+/// Settings that take effect without a restart.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct ReloadedSettings {
+    /// Message addresses of the balancers to contact.
+    pub seeds: Vec<SocketAddrV4>,
+    /// Maximum age of a flow; `None` if there is none.
+    pub max_flow_age: Option<Duration>,
+}
+
 /// Clock, log, metrics and message socket of a process.
 #[derive(Debug)]
 pub(crate) struct ProcessContext {
@@ -82,18 +91,17 @@
 
     /// Logs the result of a reload of the settings.
     ///
-    /// Returns the seeds; none if the settings are unchanged (`None`) or invalid.
+    /// Returns the new settings, or `None` if they are unchanged (`None`) or invalid.
     pub(crate) fn record_reload<E: Display>(
         &self,
-        reloaded: Option<Result<Vec<SocketAddrV4>, E>>,
-    ) -> Vec<SocketAddrV4> {
-        let (seeds, error) = match reloaded {
-            None => return Vec::new(),
-            Some(Ok(seeds)) => (seeds, None),
-            Some(Err(error)) => (Vec::new(), Some(error.to_string())),
+        reloaded: Option<Result<ReloadedSettings, E>>,
+    ) -> Option<ReloadedSettings> {
+        let (settings, error) = match reloaded? {
+            Ok(settings) => (Some(settings), None),
+            Err(error) => (None, Some(error.to_string())),
         };
         let accepted = error.is_none();
         self.log(&Event::Reload { accepted, error });
-        seeds
+        settings
     }
 }
--- a/crates/lavenderseam_passthrough/src/agent/flows.rs
+++ b/crates/lavenderseam_passthrough/src/agent/flows.rs
@@ -197,17 +197,19 @@
     }
 
     /// Removes flows whose timeout has elapsed, and stops counting requests that have been pending
-    /// for too long.
-    pub(crate) fn expire(&mut self, settings: &Settings, now: Instant) {
+    /// for too long; returns the number of established flows that were removed.
+    pub(crate) fn expire(&mut self, settings: &Settings, now: Instant) -> usize {
         self.update_mean(now);
         let pending = &mut self.pending;
+        let mut expired = 0;
         self.table.retain(|_, entry| {
             let limit = match entry.state {
                 FlowState::SynReceived(_) => settings.handshake_timeout,
-                FlowState::Established => settings.idle_timeout,
+                FlowState::Established => settings.max_flow_age,
                 FlowState::Closed => settings.closed_flow_retention,
             };
             let retain = now.since(entry.last_used) < limit;
+            expired += usize::from(!retain && entry.state == FlowState::Established);
             let limit = if entry.request_end.is_some() {
                 settings.request_timeout
             } else {
@@ -220,6 +222,7 @@
             }
             retain
         });
+        expired
     }
 
     /// Returns the number of pending requests.
--- a/crates/lavenderseam_passthrough/src/agent/mod.rs
+++ b/crates/lavenderseam_passthrough/src/agent/mod.rs
@@ -23,6 +23,7 @@
 mod settings;
 
 use std::net::SocketAddrV4;
+use std::time::Duration;
 
 use lavenderseam_core::catalog::Revision;
 use lavenderseam_core::time::Instant;
@@ -121,6 +122,13 @@
     /// Probe the backend server, which has left packets unanswered or bounced packets that it
     /// should accept.
     ProbeBackend,
+    /// Reports that flows are no longer tracked because they were idle for the maximum age of a flow.
+    FlowsExpired {
+        /// Number of flows.
+        flows: usize,
+        /// Maximum age of a flow.
+        max_age: Duration,
+    },
 }
 
 /// State machine of one agent.
@@ -200,6 +208,11 @@
         std::mem::replace(&mut self.registered, registered)
     }
 
+    /// Sets the maximum age of a flow, for which an idle flow is tracked.
+    pub const fn set_max_flow_age(&mut self, max_flow_age: Duration) {
+        self.settings.max_flow_age = max_flow_age;
+    }
+
     /// Returns `true` if the agent must be registered.
     ///
     /// An agent that has heard from no backend server leaves its registration as it is: it may have
@@ -446,12 +459,18 @@
 
     /// Advances timers and returns the actions that are due; to be called several times per second.
     pub fn tick(&mut self, now: Instant) -> Vec<Action> {
-        self.flows.expire(&self.settings, now);
+        let expired = self.flows.expire(&self.settings, now);
         let retention = self.settings.ended_flow_retention;
         self.ended_flows
             .retain(|_, since| now.since(*since) < retention);
         self.unconfirmed.expire(now);
         let mut actions = Vec::new();
+        if expired > 0 {
+            actions.push(Action::FlowsExpired {
+                flows: expired,
+                max_age: self.settings.max_flow_age,
+            });
+        }
         if self.balancers.needs_lookup(&self.settings, now) {
             actions.push(Action::LookUpBalancers);
         }
--- a/crates/lavenderseam_passthrough/src/agent/settings.rs
+++ b/crates/lavenderseam_passthrough/src/agent/settings.rs
@@ -37,8 +37,11 @@
     /// Time for which a new flow counts as a pending request while the caller sends none: a round
     /// trip to the caller, and a retransmission.
     pub first_request_timeout: Duration,
-    /// Idle timeout of a flow: the longest one that operators configure, and a margin.
-    pub idle_timeout: Duration,
+    /// Time for which an idle flow is tracked: the maximum age of a flow.
+    ///
+    /// The idle timeout that operators configure may be raised while a flow is open, so it can't tell
+    /// whether the backend server still holds the flow.
+    pub max_flow_age: Duration,
     /// Time for which a closed flow is still tracked, so that its backend server can answer late
     /// packets.
     pub closed_flow_retention: Duration,
@@ -75,7 +78,7 @@
             lookup_after: Duration::from_millis(1_500),
             handshake_timeout: Duration::from_millis(2_000),
             first_request_timeout: Duration::from_millis(300),
-            idle_timeout: Duration::from_secs(40),
+            max_flow_age: Duration::from_secs(3_600),
             closed_flow_retention: Duration::from_secs(5),
             ended_flow_retention: Duration::from_secs(10),
             max_ended_flows: 16_384,
--- a/crates/lavenderseam_passthrough/src/balancer/mod.rs
+++ b/crates/lavenderseam_passthrough/src/balancer/mod.rs
@@ -210,6 +210,12 @@
         self.queue_delay = queue_delay;
     }
 
+    /// Sets the maximum age of a flow, for which the balancer remembers agents that send no message.
+    pub fn set_max_flow_age(&mut self, max_flow_age: Duration) {
+        let default = Settings::default().agent_expiry;
+        self.settings.agent_expiry = max_flow_age.max(default);
+    }
+
     /// Handles a packet from a caller.
     pub fn on_caller_packet(&mut self, segment: &Segment, now: Instant) -> Verdict {
         if self.desired_state.is_none() {
--- a/crates/lavenderseam_passthrough/src/balancer/settings.rs
+++ b/crates/lavenderseam_passthrough/src/balancer/settings.rs
@@ -5,8 +5,8 @@
 /// Timeouts, limits and placement weights of a balancer.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
-    /// Minimum time for which the target of an idle flow is cached: the longest idle timeout that
-    /// operators usually configure, and a margin.
+    /// Minimum time for which the target of an idle flow is cached; the owner of a flow that is idle
+    /// for longer is searched for.
     pub flow_retention: Duration,
     /// Maximum number of flows in each of the cache's two generations.
     pub flow_cache_capacity: usize,
@@ -23,7 +23,8 @@
     /// so that the network sends callers to another balancer; agents announce themselves at
     /// different times.
     pub unready_after: Duration,
-    /// Time without a message after which an agent is removed: the longest lifetime of a flow.
+    /// Time without a message after which an agent is removed; at least the maximum age of a flow,
+    /// because a removed agent is no longer asked for flows.
     pub agent_expiry: Duration,
     /// Time between rounds of gossip with other balancers.
     pub gossip_interval: Duration,
--- a/crates/lavenderseam_passthrough/tests/agent.rs
+++ b/crates/lavenderseam_passthrough/tests/agent.rs
@@ -306,3 +306,44 @@
     agent.on_connection_refused(at_ms(50));
     expect_that!(agent.needs_deregistration(), eq(false));
 }
+
+/// Guards against an agent that forgets a flow which is idle for less than the operators allow, and
+/// then denies it: their limit may be raised while the flow is open.
+#[gtest]
+fn a_flow_that_is_idle_for_less_than_its_maximum_age_is_not_denied() {
+    let mut agent = agent();
+    open_with_request(&mut agent, 1, at_ms(0));
+    agent.on_backend_packet(&response(1), None, at_ms(20));
+    for second in 1..=55 {
+        agent.tick(at_ms(second * 1_000));
+    }
+    let verdict = agent.on_forwarded_packet(&request(1, 901), header(), BALANCER, at_ms(55_100));
+    expect_that!(is_delivered(&verdict), eq(true));
+}
+
+/// Guards against a change of the maximum age that has no effect on open flows.
+#[gtest]
+fn the_maximum_age_in_force_decides_when_an_idle_flow_expires() {
+    const LOW: Duration = Duration::from_secs(20);
+    const HIGH: Duration = Duration::from_secs(60);
+    let idle_for = |ages: [Duration; 2], idle_ms: u64| {
+        let mut agent = agent();
+        agent.set_max_flow_age(ages[0]);
+        open_with_request(&mut agent, 1, at_ms(0));
+        agent.tick(at_ms(10_000));
+        agent.set_max_flow_age(ages[1]);
+        let actions = agent.tick(at_ms(idle_ms));
+        let verdict =
+            agent.on_forwarded_packet(&request(1, 901), header(), BALANCER, at_ms(idle_ms));
+        let reported = actions.contains(&Action::FlowsExpired {
+            flows: 1,
+            max_age: ages[1],
+        });
+        (return_reason(&verdict), reported)
+    };
+    let denied = (Some(Reason::NotHeld), true);
+    expect_that!(idle_for([HIGH, HIGH], 59_900), eq((None, false)));
+    expect_that!(idle_for([HIGH, HIGH], 60_000), eq(denied));
+    expect_that!(idle_for([LOW, HIGH], 59_900), eq((None, false)));
+    expect_that!(idle_for([HIGH, LOW], 20_000), eq(denied));
+}
--- a/crates/lavenderseam_passthrough/tests/revalidation.rs
+++ b/crates/lavenderseam_passthrough/tests/revalidation.rs
@@ -5,10 +5,12 @@
 
 mod fixture;
 
+use std::time::Duration;
+
 use fixture::pool::{Pool, agent_address};
 use fixture::{BACKEND_ISN, at_ms, flow, request};
 use googletest::prelude::*;
-use lavenderseam_passthrough::balancer::{DiscardReason, Verdict};
+use lavenderseam_passthrough::balancer::{Action, DiscardReason, Verdict};
 use lavenderseam_passthrough::message::TargetState;
 
 const NEXT_RUN: u64 = 2;
@@ -146,3 +148,21 @@
     late.query.number -= 1;
     expect_that!(pool.answer(&late, &[], &[], 3_005).0, is_empty());
 }
+
+/// Guards against a balancer that forgets a silent agent while flows at its target may still be
+/// open, and then takes them for unowned.
+#[gtest]
+fn a_silent_agent_is_remembered_for_the_maximum_age_of_a_flow() {
+    let forgets = |max_flow_age_s: u64, at_s: u64| {
+        let mut pool = Pool::with_flows(&[]);
+        pool.balancer
+            .set_max_flow_age(Duration::from_secs(max_flow_age_s));
+        let actions = pool.tick(at_s * 1_000);
+        let is_expiry = |action: &Action| matches!(action, Action::AgentExpired { .. });
+        actions.iter().any(is_expiry)
+    };
+    expect_that!(forgets(90, 89), eq(false));
+    expect_that!(forgets(90, 91), eq(true));
+    // A shorter one doesn't let a balancer forget agents sooner than by default.
+    expect_that!(forgets(20, 59), eq(false));
+}
--- a/model/passthrough.pml
+++ b/model/passthrough.pml
@@ -20,6 +20,7 @@
  *   MUTANT_CURRENT_ROUTE  a balancer asks only the agents of the service that the route names now
  *   MUTANT_BLIND_ANSWER   a restarted agent denies flows that a balancer asks about
  *   MUTANT_ENDED_HALF     an agent records a half-open flow as ended when its backend server restarts
+ *   MUTANT_EARLY_EXPIRY   an agent stops tracking a flow that its backend server still holds
  */
 
 #define AGENTS 2
@@ -338,6 +339,17 @@
             ended[agent] = false;
             sees_all_flows[agent] = false
        }
+#ifdef MUTANT_EARLY_EXPIRY
+    :: atomic {
+        agent_state[0] == open || agent_state[1] == open ->
+            if
+            :: agent_state[0] == open -> agent = 0
+            :: agent_state[1] == open -> agent = 1
+            fi;
+            agent_state[agent] = free;
+            agent_number[agent] = 0
+       }
+#endif
     :: atomic {
         backend_restarts < BACKEND_RESTARTS ->
             backend_restarts++;
