Let no time of day decide which flows an agent knows

Cause: an agent denies unknown flows if it has seen all flows of the backend server's run. It concluded that also from a start less than half an interval ago by the time of day. After a step of 2.4 s, a run of 2.4 s looked new to the restarted agent. Evidence: `backend` started with sequence 3 after the restart, then resets of cause unowned with complete premises. Ruled out: a missing target, a late agreement, bounced packets.

The same premise decided the order of runs. A run that started after a step back was rejected until its agent restarted. A run behind a late heartbeat of an earlier one counted as new, and its flows as ended.

Change: an agent knows all flows of a run if it has received its first heartbeat, or if the port was closed before; otherwise the backend server tells by what it bounces. A run that looks older is rejected only while heartbeats of the current run arrive. A run that replaces another without its first heartbeat leaves known flows undecided. The event `backend` tells whether the agent denies flows (`knows_flows`). New mutant FALSE_END of the model of pass-through flows, rejected.

--- a/crates/lavenderseam_node/src/agent/driver.rs
+++ b/crates/lavenderseam_node/src/agent/driver.rs
@@ -195,9 +195,11 @@
             Ok(HeartbeatEffect::Resumed) => "resumed",
             Ok(HeartbeatEffect::NewRun {
                 replaces_running: false,
+                ..
             }) => "started",
             Ok(HeartbeatEffect::NewRun {
                 replaces_running: true,
+                ..
             }) => "replaced",
             Err(rejection) => {
                 self.process.record_malformed("backend", &rejection);
@@ -209,6 +211,7 @@
             id: heartbeat.id.clone(),
             state: self.agent.borrow().target_state(),
             sequence: Some(heartbeat.sequence),
+            all_flows_seen: self.agent.borrow().has_seen_all_flows(),
             reason,
         });
         self.announce();
@@ -256,6 +259,7 @@
             id: id.to_owned(),
             state: self.agent.borrow().target_state(),
             sequence: None,
+            all_flows_seen: self.agent.borrow().has_seen_all_flows(),
             reason,
         });
         self.announce();
--- a/crates/lavenderseam_node/src/log/event.rs
+++ b/crates/lavenderseam_node/src/log/event.rs
@@ -295,6 +295,10 @@
         state: TargetState,
         /// Sequence number of the heartbeat that caused the change; `None` for other causes.
         sequence: Option<u64>,
+        /// `true` if the agent denies the flows that it doesn't know, because it has seen every flow
+        /// that the backend server may hold.
+        #[serde(rename = "knows_flows")]
+        all_flows_seen: bool,
         /// What caused the change, such as `started` or `port closed`.
         reason: &'static str,
     },
--- a/crates/lavenderseam_passthrough/src/agent/backend.rs
+++ b/crates/lavenderseam_passthrough/src/agent/backend.rs
@@ -1,4 +1,10 @@
 //! State of the backend server beside the agent, derived from its heartbeats.
+//!
+//! An agent may deny a flow only if it has seen every flow of the run that its backend server is in. No
+//! time of day decides this, because clocks jump. A run has started under the eyes of the agent if its
+//! first heartbeat has arrived, or if the port of the backend server was closed before. Of any other
+//! run, the agent may have missed flows: the agent may have restarted, or a late heartbeat of an
+//! earlier run may have come first.
 
 use std::fmt;
 use std::time::Duration;
@@ -14,6 +20,11 @@
 /// the agent has missed no flow of that run.
 const FIRST_HEARTBEAT_SEQUENCE: u64 = 1;
 
+/// Number of intervals without a heartbeat after which a run no longer counts as heard.
+const MAX_MISSED_HEARTBEATS: u32 = 3;
+/// Interval of heartbeats if it isn't configured.
+const DEFAULT_HEARTBEAT_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Heartbeat of a backend server.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Heartbeat {
@@ -22,8 +33,6 @@
     /// Start time of the backend server in milliseconds since the Unix epoch; `None` if it isn't
     /// reported.
     pub started_at_ms: Option<u64>,
-    /// Time since the start of the backend server by the clock of the VM; `None` if it is unknown.
-    pub age: Option<Duration>,
     /// Sequence number of the heartbeat within one run of the backend server.
     pub sequence: u64,
     /// Name of the service that the backend server belongs to.
@@ -47,15 +56,27 @@
     pub(crate) slots: u16,
     /// Time at which the backend server becomes warm.
     warm_at: Instant,
+    /// Time of the last heartbeat.
+    heard_at: Instant,
     /// `true` if the agent has seen every flow that this run may hold.
     all_flows_seen: bool,
+    /// `true` if the port of the backend server was closed at the end of this run.
+    port_closed: bool,
     /// `true` if the backend server has announced that it terminates.
     departed: bool,
 }
 
+/// State of the backend server beside the agent, and the run that the current one has replaced.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Backend {
+    state: BackendState,
+    /// Identifier and start of the last run that another one has replaced.
+    replaced: Option<(String, Option<u64>)>,
+}
+
 /// State of the backend server beside the agent.
 #[derive(Clone, Debug, Default)]
-pub(crate) enum BackendState {
+enum BackendState {
     /// No heartbeat has been received; a backend server may be running and may hold flows.
     #[default]
     Unknown,
@@ -81,6 +102,8 @@
     NewRun {
         /// `true` if the new run replaces a run that was still considered alive.
         replaces_running: bool,
+        /// `true` if the agent has seen every flow that the new run may hold.
+        all_flows_seen: bool,
     },
 }
 
@@ -94,17 +117,18 @@
 }
 
 impl Heartbeat {
-    /// Returns `true` if certainly no earlier heartbeat of the run was acknowledged.
-    ///
-    /// A heartbeat that fails is repeated at once, but one that was acknowledged is followed by the
-    /// next one only after the interval. Half of it allows for intervals that vary.
-    fn is_first_acknowledged(&self, interval: Duration) -> bool {
-        let is_early = |age| age < interval / 2;
-        self.sequence <= FIRST_HEARTBEAT_SEQUENCE || self.age.is_some_and(is_early)
+    /// Returns `true` if no earlier heartbeat of the run can have been acknowledged.
+    const fn is_first(&self) -> bool {
+        self.sequence <= FIRST_HEARTBEAT_SEQUENCE
+    }
+
+    /// Returns `true` if the heartbeat belongs to the run with this identifier and start.
+    fn belongs_to(&self, id: &str, started_at_ms: Option<u64>) -> bool {
+        self.id == id && self.started_at_ms == started_at_ms
     }
 }
 
-impl BackendState {
+impl Backend {
     /// Processes a heartbeat.
     ///
     /// `interval` is the time between an acknowledged heartbeat and the next one; 0 if it is
@@ -115,35 +139,23 @@
         interval: Duration,
         now: Instant,
     ) -> Result<HeartbeatEffect, Rejection> {
-        let run = match self {
-            Self::Unknown => {
-                *self = Self::Running(BackendRun::new(
-                    heartbeat,
-                    heartbeat.is_first_acknowledged(interval),
-                    now,
-                ));
-                return Ok(HeartbeatEffect::NewRun {
-                    replaces_running: false,
-                });
-            }
-            Self::Absent => {
-                *self = Self::Running(BackendRun::new(heartbeat, true, now));
-                return Ok(HeartbeatEffect::NewRun {
-                    replaces_running: false,
-                });
+        let run = match &mut self.state {
+            BackendState::Unknown => {
+                return Ok(self.start_run(heartbeat, heartbeat.is_first(), now));
             }
-            Self::Running(run) | Self::Terminated(run) => run,
+            BackendState::Absent => return Ok(self.start_run(heartbeat, true, now)),
+            BackendState::Running(run) | BackendState::Terminated(run) => run,
         };
-        if run.id == heartbeat.id && run.started_at_ms == heartbeat.started_at_ms {
+        if run.is_run_of(heartbeat) {
             if heartbeat.sequence <= run.sequence {
                 return Err(Rejection::Stale);
             }
             let state_changed = run.draining != heartbeat.draining;
             run.refresh(heartbeat, now);
-            if let Self::Terminated(run) = self {
+            if let BackendState::Terminated(run) = &mut self.state {
                 // The evidence of its end was wrong, so that it still holds its flows.
                 run.all_flows_seen = false;
-                *self = Self::Running(run.clone());
+                self.state = BackendState::Running(run.clone());
                 return Ok(HeartbeatEffect::Resumed);
             }
             return Ok(if state_changed {
@@ -152,30 +164,77 @@
                 HeartbeatEffect::Unchanged
             });
         }
-        if heartbeat.started_at_ms < run.started_at_ms {
+        if self.is_outdated(heartbeat, interval, now) {
             return Err(Rejection::Stale);
         }
-        let replaces = matches!(self, Self::Running(_));
-        *self = Self::Running(BackendRun::new(heartbeat, true, now));
-        Ok(HeartbeatEffect::NewRun {
-            replaces_running: replaces,
-        })
+        // Without the first heartbeat, the new run may be older than the known one.
+        let all_flows_seen = heartbeat.is_first() || self.has_closed_port();
+        Ok(self.start_run(heartbeat, all_flows_seen, now))
+    }
+
+    /// Returns `true` if a heartbeat of another run was sent before those of the current run.
+    ///
+    /// A clock that was set back lets a new run look older than its predecessor, so this is only
+    /// concluded while heartbeats of the current run arrive.
+    fn is_outdated(&self, heartbeat: &Heartbeat, interval: Duration, now: Instant) -> bool {
+        let BackendState::Running(run) = &self.state else {
+            return false;
+        };
+        let interval = if interval.is_zero() {
+            DEFAULT_HEARTBEAT_INTERVAL
+        } else {
+            interval
+        };
+        let is_heard = now.since(run.heard_at) < interval * MAX_MISSED_HEARTBEATS;
+        let was_replaced = self
+            .replaced
+            .as_ref()
+            .is_some_and(|(id, started_at_ms)| heartbeat.belongs_to(id, *started_at_ms));
+        is_heard && (was_replaced || heartbeat.started_at_ms < run.started_at_ms)
+    }
+
+    /// Starts the run of a heartbeat.
+    fn start_run(
+        &mut self,
+        heartbeat: &Heartbeat,
+        all_flows_seen: bool,
+        now: Instant,
+    ) -> HeartbeatEffect {
+        let run = BackendRun::new(heartbeat, all_flows_seen, now);
+        let previous = std::mem::replace(&mut self.state, BackendState::Running(run));
+        let replaces_running = matches!(previous, BackendState::Running(_));
+        if let BackendState::Running(run) | BackendState::Terminated(run) = previous {
+            self.replaced = Some((run.id, run.started_at_ms));
+        }
+        HeartbeatEffect::NewRun {
+            replaces_running,
+            all_flows_seen,
+        }
+    }
+
+    /// Returns `true` if the last run has terminated and the port of the backend server was closed.
+    const fn has_closed_port(&self) -> bool {
+        matches!(&self.state, BackendState::Terminated(run) if run.port_closed)
     }
 
     /// Records that the port of the backend server is closed; returns `true` if the state has
     /// changed.
     pub(crate) fn on_closed_port(&mut self) -> bool {
-        if matches!(self, Self::Unknown) {
-            *self = Self::Absent;
-            return true;
+        match &mut self.state {
+            BackendState::Unknown => {
+                self.state = BackendState::Absent;
+                return true;
+            }
+            BackendState::Running(run) | BackendState::Terminated(run) => run.port_closed = true,
+            BackendState::Absent => {}
         }
         self.mark_terminated()
     }
 
     /// Marks the current run as terminated; returns `true` if it was running.
     fn mark_terminated(&mut self) -> bool {
-        if let Self::Running(run) = self {
-            *self = Self::Terminated(run.clone());
+        if let BackendState::Running(run) = &self.state {
+            self.state = BackendState::Terminated(run.clone());
             return true;
         }
         false
@@ -184,9 +243,9 @@
     /// Marks the run of the backend server with this identifier as terminated; returns `true` if it
     /// was running.
     pub(crate) fn mark_departed(&mut self, id: &str) -> bool {
-        let is_running = matches!(self, Self::Running(run) if run.id == id);
+        let is_running = matches!(&self.state, BackendState::Running(run) if run.id == id);
         let departed = is_running && self.mark_terminated();
-        if let Self::Terminated(run) = self {
+        if let BackendState::Terminated(run) = &mut self.state {
             run.departed |= departed;
         }
         departed
@@ -194,38 +253,38 @@
 
     /// Returns the current run, or `None` if no backend server is known to be running.
     pub(crate) const fn current_run(&self) -> Option<&BackendRun> {
-        match self {
-            Self::Running(run) => Some(run),
-            Self::Unknown | Self::Absent | Self::Terminated(_) => None,
+        match &self.state {
+            BackendState::Running(run) => Some(run),
+            BackendState::Unknown | BackendState::Absent | BackendState::Terminated(_) => None,
         }
     }
 
     /// Returns `true` if the backend server has announced that it terminates.
     pub(crate) const fn has_departed(&self) -> bool {
-        matches!(self, Self::Terminated(run) if run.departed)
+        matches!(&self.state, BackendState::Terminated(run) if run.departed)
     }
 
     /// Returns `true` if nothing is known about the backend server.
     pub(crate) const fn is_unknown(&self) -> bool {
-        matches!(self, Self::Unknown)
+        matches!(self.state, BackendState::Unknown)
     }
 
     /// Returns `true` if the agent has seen every flow that the backend server may hold.
     pub(crate) const fn has_seen_all_flows(&self) -> bool {
-        match self {
-            Self::Unknown => false,
-            Self::Running(run) => run.all_flows_seen,
-            Self::Absent | Self::Terminated(_) => true,
+        match &self.state {
+            BackendState::Unknown => false,
+            BackendState::Running(run) => run.all_flows_seen,
+            BackendState::Absent | BackendState::Terminated(_) => true,
         }
     }
 
     /// Returns the state of the target as announced to balancers.
     pub(crate) fn state(&self) -> TargetState {
-        match self {
-            Self::Unknown => TargetState::Unknown,
-            Self::Absent | Self::Terminated(_) => TargetState::Ended,
-            Self::Running(run) if run.draining => TargetState::Draining,
-            Self::Running(_) => TargetState::Ready,
+        match &self.state {
+            BackendState::Unknown => TargetState::Unknown,
+            BackendState::Absent | BackendState::Terminated(_) => TargetState::Ended,
+            BackendState::Running(run) if run.draining => TargetState::Draining,
+            BackendState::Running(_) => TargetState::Ready,
         }
     }
 }
@@ -239,16 +298,25 @@
             draining: heartbeat.draining,
             slots: heartbeat.slots.max(1),
             warm_at: now + heartbeat.cold_remaining,
+            heard_at: now,
             all_flows_seen,
+            port_closed: false,
             departed: false,
         }
     }
 
+    /// Returns `true` if a heartbeat belongs to this run.
+    fn is_run_of(&self, heartbeat: &Heartbeat) -> bool {
+        heartbeat.belongs_to(&self.id, self.started_at_ms)
+    }
+
     fn refresh(&mut self, heartbeat: &Heartbeat, now: Instant) {
         self.sequence = heartbeat.sequence;
         self.draining = heartbeat.draining;
         self.slots = heartbeat.slots.max(1);
         self.warm_at = now + heartbeat.cold_remaining;
+        self.heard_at = now;
+        self.port_closed = false;
         self.departed = false;
     }
 
--- a/crates/lavenderseam_passthrough/src/agent/mod.rs
+++ b/crates/lavenderseam_passthrough/src/agent/mod.rs
@@ -35,7 +35,7 @@
 };
 use crate::segment::Segment;
 use admission::Admission;
-use backend::BackendState;
+use backend::Backend;
 pub use backend::{Heartbeat, HeartbeatEffect, Rejection};
 use balancers::{Balancers, Recipient};
 use cold_start::ColdStartLimiter;
@@ -137,7 +137,7 @@
     identity: Identity,
     service: ServiceId,
     settings: Settings,
-    backend: BackendState,
+    backend: Backend,
     flows: FlowTracker,
     ended_flows: FlowMap<Instant>,
     delivered: DeliveredPackets,
@@ -184,7 +184,7 @@
             service: ServiceId::new(&identity.service),
             identity,
             settings,
-            backend: BackendState::default(),
+            backend: Backend::default(),
             flows: FlowTracker::default(),
             ended_flows: FlowMap::default(),
             delivered: DeliveredPackets::default(),
@@ -393,10 +393,14 @@
                 self.announce_to_all = true;
             }
             HeartbeatEffect::NewRun {
-                replaces_running: replaces,
+                replaces_running,
+                all_flows_seen,
             } => {
-                if replaces {
+                if replaces_running && all_flows_seen {
                     self.end_all_flows(now);
+                } else if replaces_running {
+                    // The flows may be those of the new run, which tells by what it bounces.
+                    self.flows.clear(now);
                 }
                 if !self.registered {
                     self.unregistered_since = Some(now);
@@ -517,6 +521,13 @@
         self.backend.state()
     }
 
+    /// Returns `true` if the agent has seen every flow that the backend server may hold, so that it
+    /// denies the flows that it doesn't know.
+    #[must_use]
+    pub const fn has_seen_all_flows(&self) -> bool {
+        self.backend.has_seen_all_flows()
+    }
+
     /// Returns the load of the target.
     pub fn target_load(&mut self, now: Instant) -> Load {
         let run = self.backend.current_run();
--- a/model/passthrough.pml
+++ b/model/passthrough.pml
@@ -20,6 +20,7 @@
  *   MUTANT_CURRENT_ROUTE  a balancer asks only the agents of the service that the route names now
  *   MUTANT_BLIND_ANSWER   a restarted agent denies flows that a balancer asks about
  *   MUTANT_ENDED_HALF     an agent records a half-open flow as ended when its backend server restarts
+ *   MUTANT_FALSE_END      an agent takes a backend server that runs on for a new one
  *   MUTANT_EARLY_EXPIRY   an agent stops tracking a flow that its backend server still holds
  */
 
@@ -339,6 +340,18 @@
             ended[agent] = false;
             sees_all_flows[agent] = false
        }
+#ifdef MUTANT_FALSE_END
+    :: atomic {
+        agent_state[0] == open || agent_state[1] == open ->
+            if
+            :: agent_state[0] == open -> agent = 0
+            :: agent_state[1] == open -> agent = 1
+            fi;
+            ended[agent] = true;
+            agent_state[agent] = free;
+            agent_number[agent] = 0
+       }
+#endif
 #ifdef MUTANT_EARLY_EXPIRY
     :: atomic {
         agent_state[0] == open || agent_state[1] == open ->
