Skip odd entries of other writers one by one

Other operators reported an entry that was nested very deeply, with a number too large or a port out of range, after which the machines that read the list ended or stopped following it. Here no process ended, but each list and watch failed as a whole while such an entry was there.

Cause: entries were skipped one by one only after the whole answer had been decoded, which fails at the first part that can't be decoded.

Change: an answer that can't be decoded as a whole is split, and each entry is decoded on its own. The product's client of the object API does the same. Errors in the log are cut at 500 characters.

--- a/crates/lavenderseam_cli/src/deadline_store.rs
+++ b/crates/lavenderseam_cli/src/deadline_store.rs
@@ -79,7 +79,12 @@
     pub async fn list(&self) -> Result<platform::ListResponse, Error> {
         loop {
             match self.store.list().await {
-                Ok(list) => return Ok(list),
+                Ok(list) => {
+                    for error in &list.errors {
+                        eprintln!("lavenderseam: skipping a record in the store: {error}");
+                    }
+                    return Ok(list);
+                }
                 Err(error) => self
                     .wait_before_retry(error)
                     .await
--- a/crates/lavenderseam_control/src/control_state.rs
+++ b/crates/lavenderseam_control/src/control_state.rs
@@ -204,7 +204,14 @@
     ) {
         self.metrics.count("store.calls", 1);
         match result {
-            Ok(list) => self.handle_event(event(list)),
+            Ok(list) => {
+                for error in &list.errors {
+                    self.metrics.count("store.malformed", 1);
+                    self.log
+                        .warn(format_args!("skipping a record in the store: {error}"));
+                }
+                self.handle_event(event(list));
+            }
             Err(Error::RevisionExpired) => self.handle_event(Event::WatchExpired),
             Err(error) => {
                 self.metrics.count("store.failures", 1);
--- a/crates/lavenderseam_core/src/lib.rs
+++ b/crates/lavenderseam_core/src/lib.rs
@@ -9,7 +9,8 @@
 //! processes write), [`catalog`] (the records that a process holds), [`view`] (the routing table
 //! compiled from them), [`flow`] (selection of the target of a packet), [`admission`] and
 //! [`request`] (load limits and at-most-once execution at a backend server), [`relay`]
-//! (replication of records between processes) and [`liveness`] (health checks of targets).
+//! (replication of records between processes) and [`liveness`] (health checks of targets). [`json`]
+//! decodes what other writers leave in the store.
 
 #[macro_use]
 mod derive;
@@ -18,6 +19,7 @@
 pub mod catalog;
 pub mod flow;
 pub mod id;
+pub mod json;
 pub mod liveness;
 pub mod random;
 pub mod rank;
--- a/crates/lavenderseam_node/src/agent/driver.rs
+++ b/crates/lavenderseam_node/src/agent/driver.rs
@@ -22,7 +22,7 @@
 use crate::http::{Request, Service, ServiceResponse};
 use crate::log::{DependencyChange, Event, LogKey};
 use crate::metrics::{DisplayLabel, ReasonLabel};
-use crate::process::{ProcessContext, ReloadedSettings};
+use crate::process::{DynamicSettings, ProcessContext};
 use crate::socket::DatagramSocket;
 
 /// Timeout of a liveness probe, which connects to the backend server on the same VM.
@@ -70,7 +70,10 @@
     }
 
     /// Applies the settings that may change while the process runs.
-    pub(crate) fn apply_settings(&self, settings: &ReloadedSettings) {
+    pub(crate) fn apply_settings(&self, settings: &DynamicSettings) {
+        for error in &settings.errors {
+            self.process.record_malformed("settings", error);
+        }
         self.add_seeds(&settings.seeds);
         if let Some(max_flow_age) = settings.max_flow_age {
             self.agent.borrow_mut().set_max_flow_age(max_flow_age);
--- a/crates/lavenderseam_node/src/agent/mod.rs
+++ b/crates/lavenderseam_node/src/agent/mod.rs
@@ -17,7 +17,7 @@
 use crate::codec::PacketCodec;
 use crate::http::{self, Service};
 use crate::log::Event;
-use crate::process::{ProcessContext, RELOAD_INTERVAL, ReloadedSettings, TICK_INTERVAL};
+use crate::process::{DynamicSettings, ProcessContext, RELOAD_INTERVAL, TICK_INTERVAL};
 use crate::socket::DatagramSocket;
 use crate::unix_signals::{SignalAction, SignalListener};
 use driver::Driver;
@@ -52,13 +52,11 @@
     pub readiness_address: SocketAddrV4,
     /// Address of the HTTP metrics endpoint.
     pub metrics_address: SocketAddrV4,
-    /// Message addresses of the balancers that the agent contacts first.
-    pub seeds: Vec<SocketAddrV4>,
     /// Time between an acknowledged heartbeat of the backend server and the next one; 0 if it is
     /// unknown.
     pub heartbeat_interval: Duration,
-    /// Maximum age of a flow; `None` if there is none.
-    pub max_flow_age: Option<Duration>,
+    /// Settings that may change while the process runs.
+    pub dynamic: DynamicSettings,
 }
 
 /// Handle to a running agent, for the service that handles its backend server's calls.
@@ -102,7 +100,7 @@
     C: PacketCodec,
     D: Directory,
     S: Service + 'static,
-    R: Fn() -> Option<Result<ReloadedSettings, E>>,
+    R: Fn() -> Option<Result<DynamicSettings, E>>,
     E: Error,
 {
     let mut signals = SignalListener::new()?;
@@ -134,10 +132,7 @@
         driver: Rc::clone(&driver),
     };
     http::serve(settings.control_address, create_service(handle)).await?;
-    driver.apply_settings(&ReloadedSettings {
-        seeds: settings.seeds,
-        max_flow_age: settings.max_flow_age,
-    });
+    driver.apply_settings(&settings.dynamic);
     driver.process.log(&Event::Start {
         role: "agent",
         domain: settings.domain,
--- a/crates/lavenderseam_node/src/balancer/mod.rs
+++ b/crates/lavenderseam_node/src/balancer/mod.rs
@@ -18,7 +18,7 @@
 use crate::codec::PacketCodec;
 use crate::http;
 use crate::log::Event;
-use crate::process::{ProcessContext, RELOAD_INTERVAL, ReloadedSettings, TICK_INTERVAL};
+use crate::process::{DynamicSettings, ProcessContext, RELOAD_INTERVAL, TICK_INTERVAL};
 use crate::socket::DatagramSocket;
 use crate::unix_signals::{SignalAction, SignalListener};
 use driver::Driver;
@@ -39,12 +39,10 @@
     pub readiness_address: SocketAddrV4,
     /// Address of the HTTP metrics endpoint.
     pub metrics_address: SocketAddrV4,
-    /// Message addresses of the balancers that this one contacts first.
-    pub seeds: Vec<SocketAddrV4>,
     /// Maximum duration of a graceful shutdown.
     pub grace_period: Duration,
-    /// Maximum age of a flow; `None` if there is none.
-    pub max_flow_age: Option<Duration>,
+    /// Settings that may change while the process runs.
+    pub dynamic: DynamicSettings,
 }
 
 /// What the balancer requests to be written to the store.
@@ -80,7 +78,7 @@
 where
     C: PacketCodec,
     F: Future<Output = ()> + 'static,
-    R: Fn() -> Option<Result<ReloadedSettings, E>>,
+    R: Fn() -> Option<Result<DynamicSettings, E>>,
     E: Error,
 {
     let mut signals = SignalListener::new()?;
@@ -118,10 +116,7 @@
         records::RecordsService(Rc::clone(&driver)),
     )
     .await?;
-    driver.apply_settings(&ReloadedSettings {
-        seeds: settings.seeds,
-        max_flow_age: settings.max_flow_age,
-    });
+    driver.apply_settings(&settings.dynamic);
     driver.process.log(&Event::Start {
         role: "balancer",
         domain: settings.domain,
--- a/crates/lavenderseam_node/src/lib.rs
+++ b/crates/lavenderseam_node/src/lib.rs
@@ -17,4 +17,4 @@
 mod socket;
 pub mod unix_signals;
 
-pub use process::ReloadedSettings;
+pub use process::DynamicSettings;
--- a/crates/lavenderseam_node/src/process.rs
+++ b/crates/lavenderseam_node/src/process.rs
@@ -18,13 +18,18 @@
 /// Interval at which the settings are read again, for changes that no signal announced.
 pub(crate) const RELOAD_INTERVAL: Duration = Duration::from_secs(2);
 
+/// Maximum length of an error about malformed input in the log, in characters.
+const MAX_ERROR_CHARS: usize = 500;
+
 /// Settings that take effect without a restart.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct ReloadedSettings {
+pub struct DynamicSettings {
     /// Message addresses of the balancers to contact.
     pub seeds: Vec<SocketAddrV4>,
     /// Maximum age of a flow; `None` if there is none.
     pub max_flow_age: Option<Duration>,
+    /// Errors of the settings that are ignored.
+    pub errors: Vec<String>,
 }
 
 /// Clock, log, metrics and message socket of a process.
@@ -66,10 +71,9 @@
     /// Counts and logs input that can't be decoded.
     pub(crate) fn record_malformed(&self, source: &'static str, error: &impl Display) {
         self.metrics.malformed.inc();
-        self.log(&Event::MalformedInput {
-            source,
-            error: error.to_string(),
-        });
+        // The error may quote the input.
+        let error = error.to_string().chars().take(MAX_ERROR_CHARS).collect();
+        self.log(&Event::MalformedInput { source, error });
     }
 
     /// Counts and logs a message that couldn't be sent or received.
@@ -94,8 +98,8 @@
     /// Returns the new settings, or `None` if they are unchanged (`None`) or invalid.
     pub(crate) fn record_reload<E: Display>(
         &self,
-        reloaded: Option<Result<ReloadedSettings, E>>,
-    ) -> Option<ReloadedSettings> {
+        reloaded: Option<Result<DynamicSettings, E>>,
+    ) -> Option<DynamicSettings> {
         let (settings, error) = match reloaded? {
             Ok(settings) => (Some(settings), None),
             Err(error) => (None, Some(error.to_string())),
--- a/crates/lavenderseam_passthrough/src/agent/backend.rs
+++ b/crates/lavenderseam_passthrough/src/agent/backend.rs
@@ -20,6 +20,9 @@
 /// the agent has missed no flow of that run.
 const FIRST_HEARTBEAT_SEQUENCE: u64 = 1;
 
+/// Highest sequence number that a heartbeat can have: 13 years of ten heartbeats a second. A higher one
+/// would let all further heartbeats of the run look stale.
+const MAX_HEARTBEAT_SEQUENCE: u64 = 1 << 32;
 /// Number of intervals without a heartbeat after which a run no longer counts as heard.
 const MAX_MISSED_HEARTBEATS: u32 = 3;
 /// Interval of heartbeats if it isn't configured.
@@ -114,6 +117,8 @@
     Stale,
     /// The sender belongs to another service; holds the name of that service.
     OtherService(String),
+    /// The sequence number is higher than any backend server reaches; holds the number.
+    ImplausibleSequence(u64),
 }
 
 impl Heartbeat {
@@ -139,6 +144,9 @@
         interval: Duration,
         now: Instant,
     ) -> Result<HeartbeatEffect, Rejection> {
+        if heartbeat.sequence > MAX_HEARTBEAT_SEQUENCE {
+            return Err(Rejection::ImplausibleSequence(heartbeat.sequence));
+        }
         let run = match &mut self.state {
             BackendState::Unknown => {
                 return Ok(self.start_run(heartbeat, heartbeat.is_first(), now));
@@ -335,6 +343,12 @@
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Stale => formatter.write_str("heartbeat is out of order or from an earlier run"),
+            Self::ImplausibleSequence(sequence) => {
+                write!(
+                    formatter,
+                    "sequence number {sequence} of the heartbeat is too high"
+                )
+            }
             Self::OtherService(service) => {
                 write!(
                     formatter,
--- a/crates/lavenderseam_passthrough/tests/agent_backend.rs
+++ b/crates/lavenderseam_passthrough/tests/agent_backend.rs
@@ -113,6 +113,24 @@
     expect_that!(agent.target_state(), eq(TargetState::Ready));
 }
 
+/// Guards against a heartbeat of another writer whose number lets all further heartbeats look stale.
+#[gtest]
+fn an_implausible_sequence_number_is_rejected() {
+    let mut agent = agent();
+    let odd = 1 << 53;
+    expect_that!(
+        agent.on_heartbeat(&heartbeat(odd), at_ms(1)),
+        err(eq(&Rejection::ImplausibleSequence(odd)))
+    );
+    expect_that!(agent.on_heartbeat(&heartbeat(2), at_ms(2)), ok(anything()));
+    let mut agent = agent_without_heartbeat();
+    expect_that!(
+        agent.on_heartbeat(&heartbeat(odd), at_ms(1)),
+        err(anything())
+    );
+    expect_that!(agent.target_state(), eq(TargetState::Unknown));
+}
+
 #[gtest]
 fn heartbeat_revives_run_considered_terminated() {
     let mut agent = agent();
--- a/crates/lavenderseam_platform/src/client/response.rs
+++ b/crates/lavenderseam_platform/src/client/response.rs
@@ -1,6 +1,7 @@
 //! Parsers for the response bodies of the object API.
 
 use lavenderseam_core::catalog::{Entry, Epoch, Revision};
+use lavenderseam_core::json;
 use lavenderseam_core::record::{Document, Id, Kind};
 use serde::Deserialize;
 use serde_json::Value;
@@ -26,14 +27,13 @@
     document: Document,
 }
 
-/// Body of a response that holds many records.
+/// Body of a response that holds many records, without the records.
 #[derive(Deserialize)]
 struct ListBody {
     revision: u64,
-    entries: Vec<Value>,
 }
 
-/// Element of [`ListBody`]: a record with its document, or a deletion with kind and name.
+/// Record in a response that holds many: a record with its document, or a deletion with kind and name.
 #[derive(Deserialize)]
 struct ListElement {
     revision: u64,
@@ -64,16 +64,24 @@
 }
 
 /// Parses a response that holds many records. Records of unknown kinds are skipped, so that a newer
-/// version can add kinds without breaking this one.
+/// version can add kinds without breaking this one, and so are records that can't be decoded.
 pub(crate) fn list(body: &[u8], epoch: Epoch) -> Result<ListResponse, Error> {
-    let list_body: ListBody = parse(body)?;
-    let elements = list_body.entries.into_iter();
-    Ok(ListResponse {
-        entries: elements
-            .filter_map(|element| list_element(element, epoch))
-            .collect(),
+    let protocol = |error: serde_json::Error| Error::Protocol(error.to_string());
+    let json::Answer { entries, members } =
+        json::Answer::decode(body, "entries").map_err(protocol)?;
+    let list_body = ListBody::deserialize(Value::Object(members)).map_err(protocol)?;
+    let mut response = ListResponse {
+        entries: Vec::with_capacity(entries.len()),
+        errors: Vec::new(),
         revision: revision(epoch, list_body.revision)?,
-    })
+    };
+    for json::Entry { value, damage } in entries {
+        match damage {
+            Some(error) => response.errors.push(error),
+            None => response.entries.extend(list_element(value, epoch)),
+        }
+    }
+    Ok(response)
 }
 
 /// Converts an element of a list; `None` if this version can't parse it.
--- a/crates/lavenderseam_platform/src/fake.rs
+++ b/crates/lavenderseam_platform/src/fake.rs
@@ -185,6 +185,7 @@
             .values()
             .filter(|entry| entry.document.is_some());
         Ok(ListResponse {
+            errors: Vec::new(),
             entries: existing.cloned().collect(),
             revision: *self.head.borrow(),
         })
@@ -221,6 +222,7 @@
         let mut entries: Vec<Entry> = newer.cloned().collect();
         entries.sort_by_key(|entry| entry.revision);
         Ok(ListResponse {
+            errors: Vec::new(),
             entries,
             revision: *self.head.borrow(),
         })
--- a/crates/lavenderseam_platform/src/store.rs
+++ b/crates/lavenderseam_platform/src/store.rs
@@ -23,6 +23,8 @@
 pub struct ListResponse {
     /// Existing records for a list; records written or deleted since for a watch.
     pub entries: Vec<Entry>,
+    /// Errors of the records that were skipped because they can't be decoded.
+    pub errors: Vec<String>,
     /// Revision of the store that these records reflect; a watch continues after it.
     pub revision: Revision,
 }
--- a/crates/lavenderseam_platform/tests/client.rs
+++ b/crates/lavenderseam_platform/tests/client.rs
@@ -193,3 +193,25 @@
         ))))
     );
 }
+
+/// Guards against a list that fails as a whole because of one record of another writer.
+#[gtest]
+#[tokio::test]
+async fn an_unreadable_record_costs_only_itself() {
+    let deep = format!("{}{}", "[".repeat(300), "]".repeat(300));
+    for odd in [
+        deep.as_str(),
+        r#"{"revision":1e999}"#,
+        "NaN",
+        r#"{"document":"\ud800"}"#,
+    ] {
+        let good = r#"{"revision":4,"kind":"FailureDomain","name":"suva-a"}"#;
+        let body = format!(r#"{{"revision":9,"entries":[{odd},{good}]}}"#);
+        let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", body.len());
+        let address = serve_once(Box::leak(format!("{head}{body}").into_boxed_str())).await;
+        let list = client(address).list().await.unwrap();
+        expect_that!(list.entries.len(), eq(1), "{odd}");
+        expect_that!(list.errors.len(), eq(1), "{odd}");
+        expect_that!(list.revision, eq(Revision(9)));
+    }
+}
