--- a/crates/lavenderseam_node/src/http/client.rs
+++ b/crates/lavenderseam_node/src/http/client.rs
@@ -10,7 +10,7 @@
 use bytes::Bytes;
 use http::header::{CONTENT_TYPE, HOST};
 use http::{HeaderMap, StatusCode};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
@@ -29,6 +29,8 @@
     Unreachable,
     /// No complete response arrived; the server may have executed the request.
     Unanswered,
+    /// The body of the response is larger than a client accepts.
+    TooLarge,
     /// The request is not valid HTTP and was not sent.
     Request(http::Error),
 }
@@ -79,7 +81,13 @@
         let response = sender.send_request(request).await;
         let (parts, body) = response.map_err(|_| Error::Unanswered)?.into_parts();
         let body = Limited::new(body, MAX_RESPONSE_BODY_BYTES).collect().await;
-        let body = body.map_err(|_| Error::Unanswered)?;
+        let body = body.map_err(|error| {
+            if error.is::<LengthLimitError>() {
+                Error::TooLarge
+            } else {
+                Error::Unanswered
+            }
+        })?;
         Ok(Response {
             status: parts.status,
             headers: parts.headers,
@@ -97,6 +105,10 @@
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Unreachable => formatter.write_str("could not connect; the request was not sent"),
+            Self::TooLarge => write!(
+                formatter,
+                "response exceeds {MAX_RESPONSE_BODY_BYTES} bytes"
+            ),
             Self::Unanswered => formatter.write_str("no complete response; outcome unknown"),
             Self::Request(error) => write!(formatter, "HTTP request can't be written: {error}"),
         }
--- a/crates/lavenderseam_node/src/log/event.rs
+++ b/crates/lavenderseam_node/src/log/event.rs
@@ -145,7 +145,7 @@
         records: usize,
         /// Number of records that are kept although the restored store lacks them.
         carried_over: usize,
-        /// Why the records were listed: `start`, `history gone`, `restored` or `settled`.
+        /// Why the records were listed, such as `start`, `history gone` or `restored`.
         reason: &'static str,
     },
     /// A balancer has discovered a target, or the state of a target has changed.
