Count only balancers that run for the duration of watches

Cause: the duration of a watch grows with the number of balancers, in the belief that one of the others renews its watch sooner. The number was that of all balancers ever registered, and registrations outlive balancers.

Change: only balancers count that have sent gossip within three rotations of it (5 s at least), or became known within that time.

Test: gossip replaced_balancers_are_not_counted (the count is new; the old one stays at 15).

--- a/crates/lavenderseam_node/src/balancer/records.rs
+++ b/crates/lavenderseam_node/src/balancer/records.rs
@@ -407,10 +407,10 @@
         let _ = epochs.wait_for(is_newer).await;
     }
 
-    /// Returns the number of known balancers, including this one.
+    /// Returns the number of balancers that seem to run, including this one.
     #[must_use]
-    pub fn balancer_count(&self) -> usize {
-        self.driver.balancer.borrow().balancer_count()
+    pub fn active_balancers(&self) -> usize {
+        self.driver.balancer.borrow().active_balancers(self.now())
     }
 
     /// Returns `true` if the balancer has received no gossip of another one for some time.
--- a/crates/lavenderseam_passthrough/src/balancer/mod.rs
+++ b/crates/lavenderseam_passthrough/src/balancer/mod.rs
@@ -451,8 +451,8 @@
 
     /// Returns the number of known balancers, including this one.
     #[must_use]
-    pub fn balancer_count(&self) -> usize {
-        self.balancers().len()
+    pub fn active_balancers(&self, now: Instant) -> usize {
+        1 + self.peers.active(self.settings.gossip_interval, now)
     }
 
     /// Returns the targets of a new flow's service, counted by availability; used to explain a
--- a/crates/lavenderseam_passthrough/src/balancer/peers.rs
+++ b/crates/lavenderseam_passthrough/src/balancer/peers.rs
@@ -14,6 +14,11 @@
 /// Time without a message after which an unregistered balancer, known only from gossip, is removed.
 const PEER_EXPIRY: Duration = Duration::from_secs(60);
 
+/// Rotations of gossip without a message after which a balancer no longer counts as active.
+const MAX_MISSED_ROTATIONS: u32 = 3;
+/// Minimum time without a message after which a balancer no longer counts as active.
+const MIN_SILENCE: Duration = Duration::from_secs(5);
+
 /// Other balancers known to this one.
 #[derive(Debug, Default)]
 pub(crate) struct Peers {
@@ -157,6 +162,19 @@
         recipients
     }
 
+    /// Returns the number of balancers that have sent a message or become known recently.
+    ///
+    /// A registration outlives its balancer, so the number of known balancers only grows where
+    /// balancers are replaced.
+    pub(crate) fn active(&self, gossip_interval: Duration, now: Instant) -> usize {
+        // Each balancer sends gossip to each other one once in a rotation.
+        let rounds = self.last_message_at.len().div_ceil(GOSSIP_FANOUT);
+        let rotation = gossip_interval * u32::try_from(rounds).unwrap_or(u32::MAX);
+        let silence = (rotation * MAX_MISSED_ROTATIONS).max(MIN_SILENCE);
+        let last_messages = self.last_message_at.values();
+        last_messages.filter(|at| now.since(**at) < silence).count()
+    }
+
     /// Returns the number of known balancers.
     pub(crate) fn len(&self) -> usize {
         self.last_message_at.len()
--- a/crates/lavenderseam_passthrough/tests/gossip.rs
+++ b/crates/lavenderseam_passthrough/tests/gossip.rs
@@ -11,6 +11,7 @@
 use googletest::prelude::*;
 use lavenderseam_passthrough::agent;
 use lavenderseam_passthrough::balancer::{Action, Balancer, Identity};
+use lavenderseam_passthrough::desired::RegisteredBalancers;
 use lavenderseam_passthrough::message::RecordVersions;
 
 fn peer(index: u8) -> SocketAddrV4 {
@@ -124,3 +125,26 @@
     let after_reply: usize = (16..=25).map(|tick| announcements(tick * 100)).sum();
     expect_that!(after_reply, le(4));
 }
+
+/// Guards against watches that last longer with each balancer that was replaced, because the duration
+/// rests on the number of balancers and registrations outlive them.
+#[gtest]
+fn replaced_balancers_are_not_counted() {
+    let mut balancer = balancer();
+    let registered = RegisteredBalancers {
+        balancers: (1..=14).map(peer).collect(),
+        ..RegisteredBalancers::default()
+    };
+    balancer.set_registered_balancers(&registered, at_ms(0));
+    expect_that!(balancer.active_balancers(at_ms(100)), eq(15));
+    for round in 1..=40 {
+        for running in [1, 2] {
+            let gossip = RecordVersions::default();
+            balancer.on_gossip(&gossip, peer(running), at_ms(round * 500));
+        }
+        gossip_recipients(&mut balancer, round * 500);
+    }
+    expect_that!(balancer.active_balancers(at_ms(20_100)), eq(3));
+    // Those that have gone silent come last.
+    expect_that!(balancer.active_balancers(at_ms(60_000)), eq(1));
+}
