Introduce balancers to registered agents that they haven't heard

Cause: an agent that has lost all its balancers looks up new ones by a stale read, and announces itself to none until then. New balancers conclude after 1.2 or 3 s without it, although it is registered; nobody asked it.

Change: from 0.5 s to 5 s after its start, a balancer introduces itself to the registered agents that it hasn't heard, 64 at most in a round of gossip. The introduction has the revisions of a balancer that knows nothing, so that an agent takes over no limits or orders from it.

Test: gossip a_balancer_introduces_itself_to_registered_agents_that_it_ has_not_heard fails on (no introduction).

--- a/crates/lavenderseam_passthrough/src/balancer/mod.rs
+++ b/crates/lavenderseam_passthrough/src/balancer/mod.rs
@@ -68,6 +68,10 @@
 /// state is stale.
 const MAX_TICK_GAP: Duration = Duration::from_millis(1_000);
 
+/// Maximum number of unheard agents that a balancer introduces itself to in one round of gossip, which
+/// bounds its messages in a large fleet.
+const MAX_INTRODUCTIONS_PER_ROUND: usize = 64;
+
 /// Identity and addresses of a balancer.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Identity {
@@ -398,6 +402,7 @@
         if interval_elapsed || is_new_offer {
             self.last_gossip = now;
             actions.extend(self.introductions());
+            actions.extend(self.introductions_to_unheard(now));
             let mut gossip = self.gossip();
             if !offers_targets {
                 gossip.targets_digest = INCOMPLETE_TARGETS;
@@ -449,7 +454,7 @@
         self.out_of_service.carried_over(now)
     }
 
-    /// Returns the number of known balancers, including this one.
+    /// Returns the number of balancers that seem to run, including this one.
     #[must_use]
     pub fn active_balancers(&self, now: Instant) -> usize {
         1 + self.peers.active(self.settings.gossip_interval, now)
@@ -508,6 +513,41 @@
         indirect.map(introduce).collect()
     }
 
+    /// Returns introductions to registered agents that have sent no message since the start.
+    ///
+    /// An agent whose balancers have all been replaced finds new ones only by looking them up in the
+    /// store, whose answer may be seconds old.
+    fn introductions_to_unheard(&self, now: Instant) -> Vec<Action> {
+        let Some(running_since) = self.running_since else {
+            return Vec::new();
+        };
+        let uptime = now.since(running_since);
+        if !self.settings.introduction_uptime.contains(&uptime) {
+            return Vec::new();
+        }
+        // The service and failure domain of the agent aren't known yet, so this tells nothing of them.
+        let hello = Hello {
+            balancers: Vec::new(),
+            desired_revision: Revision::default(),
+            service_known: false,
+            out_domains_revision: Revision::default(),
+            domain_out: false,
+            cold_rate: None,
+            max_flows: None,
+        };
+        let unheard = self.registrations.unheard(&self.targets, running_since);
+        let mut unheard: Vec<SocketAddrV4> = unheard.collect();
+        let round = uptime.as_micros() / self.settings.gossip_interval.as_micros().max(1);
+        let first = round as usize * MAX_INTRODUCTIONS_PER_ROUND % unheard.len().max(1);
+        unheard.rotate_left(first);
+        let introduce = |agent| Action::SendHello {
+            agent,
+            hello: hello.clone(),
+        };
+        let recipients = unheard.into_iter().take(MAX_INTRODUCTIONS_PER_ROUND);
+        recipients.map(introduce).collect()
+    }
+
     fn revision(&self) -> Revision {
         self.desired_state
             .as_ref()
--- a/crates/lavenderseam_passthrough/src/balancer/registrations.rs
+++ b/crates/lavenderseam_passthrough/src/balancer/registrations.rs
@@ -4,6 +4,7 @@
 //! targets. Without them it can only wait for long enough.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddrV4;
 use std::time::Duration;
 
 use lavenderseam_core::time::Instant;
@@ -17,9 +18,8 @@
 /// Registered agents, as listed once after the start.
 #[derive(Debug, Default)]
 pub(crate) struct Registrations {
-    /// Registered targets, with `true` if their agents were reported as silent; `None` if the
-    /// registrations aren't known.
-    targets: Option<BTreeMap<TargetId, bool>>,
+    /// Registered agents by target; `None` if the registrations aren't known.
+    targets: Option<BTreeMap<TargetId, RegisteredAgent>>,
 }
 
 /// Registered agents, counted by whether a balancer has heard from them.
@@ -50,7 +50,7 @@
     pub(crate) fn new(agents: &[RegisteredAgent]) -> Self {
         let targets = agents
             .iter()
-            .map(|agent| (TargetId::new(agent.address), agent.is_silent));
+            .map(|agent| (TargetId::new(agent.address), *agent));
         Self {
             targets: Some(targets.collect()),
         }
@@ -75,8 +75,8 @@
             registered: registered.len(),
             ..Heard::default()
         };
-        for (id, is_silent) in registered {
-            match (is_heard(*id), *is_silent && marks_count) {
+        for (id, agent) in registered {
+            match (is_heard(*id), agent.is_silent && marks_count) {
                 (true, _) => {}
                 (false, true) => heard.silent += 1,
                 (false, false) => heard.missing += 1,
@@ -85,6 +85,21 @@
         Some(heard)
     }
 
+    /// Returns the addresses of registered agents from which a balancer that has been running since
+    /// `running_since` has received no message.
+    pub(crate) fn unheard(
+        &self,
+        known: &Targets,
+        running_since: Instant,
+    ) -> impl Iterator<Item = SocketAddrV4> {
+        let registered = self.targets.iter().flatten();
+        let unheard = registered.filter(move |(id, _)| {
+            let target = known.get(**id);
+            target.is_none_or(|target| !target.has_sent_since(running_since))
+        });
+        unheard.map(|(_, agent)| agent.address)
+    }
+
     /// Compares the known targets with the registrations, for a balancer that has been running
     /// since `running_since`.
     pub(crate) fn completeness(
--- a/crates/lavenderseam_passthrough/src/balancer/settings.rs
+++ b/crates/lavenderseam_passthrough/src/balancer/settings.rs
@@ -1,5 +1,6 @@
 //! Timeouts, limits and placement weights of a balancer.
 
+use std::ops::Range;
 use std::time::Duration;
 
 /// Timeouts, limits and placement weights of a balancer.
@@ -104,6 +105,9 @@
     /// Minimum uptime of a balancer before it may conclude that no target holds a flow; agents that
     /// it doesn't know yet announce themselves within this time.
     pub min_uptime: Duration,
+    /// Uptime during which a balancer introduces itself to the registered agents that it hasn't heard:
+    /// from when those that know it have announced themselves, until it concludes without the others.
+    pub introduction_uptime: Range<Duration>,
     /// Minimum uptime for the same conclusion if many registered agents have sent no message yet,
     /// because they are still starting.
     pub min_uptime_while_agents_start: Duration,
@@ -170,6 +174,7 @@
             max_search_age: Duration::from_secs(10),
             max_searches: 1 << 12,
             min_uptime: Duration::from_millis(1_200),
+            introduction_uptime: Duration::from_millis(500)..Duration::from_secs(5),
             min_uptime_while_agents_start: Duration::from_secs(3),
             min_uptime_with_silent_agents: Duration::from_millis(500),
             silence_report_after: Duration::from_secs(5),
--- a/crates/lavenderseam_passthrough/tests/gossip.rs
+++ b/crates/lavenderseam_passthrough/tests/gossip.rs
@@ -9,10 +9,11 @@
 
 use fixture::{BALANCER, agent, at_ms, balancer_hello};
 use googletest::prelude::*;
+use lavenderseam_core::catalog::Revision;
 use lavenderseam_passthrough::agent;
 use lavenderseam_passthrough::balancer::{Action, Balancer, Identity};
-use lavenderseam_passthrough::desired::RegisteredBalancers;
-use lavenderseam_passthrough::message::RecordVersions;
+use lavenderseam_passthrough::desired::{RegisteredAgent, RegisteredBalancers};
+use lavenderseam_passthrough::message::{Announcement, RecordVersions};
 
 fn peer(index: u8) -> SocketAddrV4 {
     SocketAddrV4::new(Ipv4Addr::new(10, 1, 1, index), 7_000)
@@ -148,3 +149,49 @@
     // Those that have gone silent come last.
     expect_that!(balancer.active_balancers(at_ms(60_000)), eq(1));
 }
+
+/// Guards against a running agent that is taken to have failed: its balancers were all replaced, and
+/// the store's answer, by which it looks up new ones, is old.
+#[gtest]
+fn a_balancer_introduces_itself_to_registered_agents_that_it_has_not_heard() {
+    let agent_address = |index: u8| SocketAddrV4::new(Ipv4Addr::new(10, 2, 1, index), 7_000);
+    let mut balancer = balancer();
+    let introduced = |balancer: &mut Balancer, milliseconds: u64| -> Vec<SocketAddrV4> {
+        let actions = balancer.tick(at_ms(milliseconds)).into_iter();
+        let agent = |action| match action {
+            Action::SendHello { agent, hello } => {
+                // An agent that knows more must not take over what this balancer doesn't know.
+                assert!(!hello.service_known && hello.out_domains_revision == Revision::default());
+                Some(agent)
+            }
+            _ => None,
+        };
+        actions.filter_map(agent).collect()
+    };
+    introduced(&mut balancer, 0);
+    let registered: Vec<RegisteredAgent> = (1..=3)
+        .map(|index| RegisteredAgent {
+            address: agent_address(index),
+            is_silent: index == 3,
+        })
+        .collect();
+    balancer.set_registered_agents(&registered);
+    let announcement = Announcement::default();
+    balancer.on_announcement(&announcement, agent_address(1), at_ms(200));
+    // Agents that know the balancer announce themselves first.
+    expect_that!(introduced(&mut balancer, 400), is_empty());
+    let unheard = [agent_address(2), agent_address(3)];
+    expect_that!(
+        introduced(&mut balancer, 600),
+        unordered_elements_are![eq(&unheard[0]), eq(&unheard[1])]
+    );
+    balancer.on_announcement(&announcement, agent_address(2), at_ms(700));
+    expect_that!(
+        introduced(&mut balancer, 1_200),
+        container_eq([agent_address(3)])
+    );
+    for milliseconds in (1_300..5_000).step_by(100) {
+        introduced(&mut balancer, milliseconds);
+    }
+    expect_that!(introduced(&mut balancer, 5_500), is_empty());
+}
