Accept announcements of a run that another balancer told of

A balancer that learned of an agent's new run from another balancer kept the sequence number of the old run, and ignored the agent until its count had passed that number or 60 s had gone by; such a target got no new flows.

The number is kept only for the same run.

--- a/crates/lavenderseam_passthrough/src/balancer/targets.rs
+++ b/crates/lavenderseam_passthrough/src/balancer/targets.rs
@@ -121,7 +121,9 @@
                 existing.is_some_and(|existing| existing.receives_from_balancer);
             target.received_directly = existing.is_some_and(|existing| existing.received_directly);
             target.unresponsive = existing.is_some_and(|existing| existing.unresponsive);
-            target.sequence = existing.map_or(0, |existing| existing.sequence);
+            // The announcements of another run count from 1 again.
+            let same_run = existing.filter(|existing| existing.run == target.run);
+            target.sequence = same_run.map_or(0, |existing| existing.sequence);
             if existing.is_none_or(|existing| existing.run != target.run) {
                 self.restarted.insert(id);
             }
--- a/crates/lavenderseam_passthrough/tests/gossip.rs
+++ b/crates/lavenderseam_passthrough/tests/gossip.rs
@@ -13,7 +13,9 @@
 use lavenderseam_passthrough::agent;
 use lavenderseam_passthrough::balancer::{Action, Balancer, Identity};
 use lavenderseam_passthrough::desired::{RegisteredAgent, RegisteredBalancers};
-use lavenderseam_passthrough::message::{Announcement, RecordVersions};
+use lavenderseam_passthrough::message::{
+    Announcement, RecordVersions, TargetSnapshot, TargetState,
+};
 
 fn peer(index: u8) -> SocketAddrV4 {
     SocketAddrV4::new(Ipv4Addr::new(10, 1, 1, index), 7_000)
@@ -195,3 +197,28 @@
     }
     expect_that!(introduced(&mut balancer, 5_500), is_empty());
 }
+
+/// Guards against an agent that is ignored after its restart: another balancer told of its new run, whose
+/// announcements count from 1 again.
+#[gtest]
+fn announcements_of_a_run_that_another_balancer_told_of_count() {
+    let agent_address = SocketAddrV4::new(Ipv4Addr::new(10, 2, 1, 1), 7_000);
+    let announcement = |run, sequence, state| Announcement {
+        run,
+        sequence,
+        state,
+        ..Announcement::default()
+    };
+    let mut balancer = balancer();
+    let before = announcement(1, 900, TargetState::Ready);
+    balancer.on_announcement(&before, agent_address, at_ms(0));
+    let snapshot = TargetSnapshot {
+        agent: agent_address,
+        age_ms: 0,
+        announcement: announcement(2, 3, TargetState::Unknown),
+    };
+    balancer.merge_targets(&[snapshot], at_ms(1_000));
+    let after = announcement(2, 4, TargetState::Ready);
+    let outcome = balancer.on_announcement(&after, agent_address, at_ms(1_100));
+    expect_that!(outcome.target_changed, eq(true));
+}
