Keep the rate limit of a cold target across a restart of its agent

An agent that may have missed flows of its backend server admits none to a cold one for a second. It has no effect without a rate limit.

--- a/crates/lavenderseam_passthrough/src/agent/cold_start.rs
+++ b/crates/lavenderseam_passthrough/src/agent/cold_start.rs
@@ -16,6 +16,8 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct ColdStartLimiter {
     admitted: VecDeque<Instant>,
+    /// End of the window in which flows may have been admitted that aren't recorded.
+    unrecorded_until: Instant,
 }
 
 impl ColdStartLimiter {
@@ -28,6 +30,9 @@
         let Some(flows_per_second) = flows_per_second else {
             return u16::MAX;
         };
+        if now < self.unrecorded_until {
+            return 0;
+        }
         let limit = flows_per_second.clamp(1.0, f64::from(u16::MAX)) as u16;
         let admitted = u16::try_from(self.admitted.len()).unwrap_or(u16::MAX);
         limit.saturating_sub(admitted)
@@ -39,9 +44,15 @@
         self.admitted.push_back(now);
     }
 
-    /// Removes all recorded flows.
+    /// Removes all recorded flows, for a backend server that has just started.
     pub(crate) fn clear(&mut self) {
-        self.admitted.clear();
+        *self = Self::default();
+    }
+
+    /// Admits no flow within one window, because a previous run of the agent may have admitted as many
+    /// as the backend server can bear.
+    pub(crate) fn wait_for_window(&mut self, now: Instant) {
+        self.unrecorded_until = now + WINDOW;
     }
 
     fn evict_expired(&mut self, now: Instant) {
--- a/crates/lavenderseam_passthrough/src/agent/mod.rs
+++ b/crates/lavenderseam_passthrough/src/agent/mod.rs
@@ -407,6 +407,9 @@
                 }
                 self.announce_to_all = true;
                 self.cold_start.clear();
+                if !all_flows_seen {
+                    self.cold_start.wait_for_window(now);
+                }
                 self.liveness = BackendLiveness::default();
                 self.response_time = ResponseTime::default();
                 self.occupancy = Occupancy::default();
--- a/crates/lavenderseam_passthrough/tests/agent_backend.rs
+++ b/crates/lavenderseam_passthrough/tests/agent_backend.rs
@@ -4,9 +4,11 @@
 
 mod fixture;
 
+use std::time::Duration;
+
 use fixture::{
-    BALANCER, HEARTBEAT_INTERVAL, agent, agent_without_heartbeat, at_ms, header, heartbeat,
-    is_delivered, open_with_request, request, response, return_reason, syn, syn_ack,
+    BALANCER, HEARTBEAT_INTERVAL, agent, agent_without_heartbeat, at_ms, balancer_hello, header,
+    heartbeat, is_delivered, open_with_request, request, response, return_reason, syn, syn_ack,
 };
 use googletest::prelude::*;
 use lavenderseam_passthrough::agent::{
@@ -341,3 +343,29 @@
     let verdict = agent.on_forwarded_packet(&syn(6), header(), BALANCER, at_ms(302));
     expect_that!(is_delivered(&verdict), eq(true));
 }
+
+/// Guards against a cold backend server that gets more flows in a second than it can bear, because its
+/// agent restarts within that second and forgets those that it had admitted.
+#[gtest]
+fn a_restarted_agent_admits_no_flow_to_a_cold_backend_within_a_second() {
+    let mut cold = heartbeat(7);
+    cold.cold_remaining = Duration::from_secs(10);
+    let mut hello = balancer_hello();
+    hello.cold_rate = Some(20.0);
+    let mut agent = agent_without_heartbeat();
+    agent.replace_registered(true);
+    agent.on_balancer_hello(&hello, BALANCER, at_ms(0));
+    agent.on_heartbeat(&cold, at_ms(100)).unwrap();
+    let verdict = agent.on_forwarded_packet(&syn(1), header(), BALANCER, at_ms(1_099));
+    expect_that!(return_reason(&verdict), some(eq(Reason::Cold)));
+    let verdict = agent.on_forwarded_packet(&syn(1), header(), BALANCER, at_ms(1_100));
+    expect_that!(is_delivered(&verdict), eq(true));
+    // An agent that has received the first heartbeat has forgotten no flow.
+    let mut agent = agent_without_heartbeat();
+    agent.replace_registered(true);
+    agent.on_balancer_hello(&hello, BALANCER, at_ms(0));
+    cold.sequence = 1;
+    agent.on_heartbeat(&cold, at_ms(100)).unwrap();
+    let verdict = agent.on_forwarded_packet(&syn(1), header(), BALANCER, at_ms(101));
+    expect_that!(is_delivered(&verdict), eq(true));
+}
