--- a/crates/lavenderseam_passthrough/src/agent/backend.rs
+++ b/crates/lavenderseam_passthrough/src/agent/backend.rs
@@ -1,10 +1,10 @@
 //! State of the backend server beside the agent, derived from its heartbeats.
 //!
-//! An agent may deny a flow only if it has seen every flow of the run that its backend server is in. No
-//! time of day decides this, because clocks jump. A run has started under the eyes of the agent if its
-//! first heartbeat has arrived, or if the port of the backend server was closed before. Of any other
-//! run, the agent may have missed flows: the agent may have restarted, or a late heartbeat of an
-//! earlier run may have come first.
+//! An agent may deny a flow only if it has seen every flow of the current run of its backend server:
+//! if it has received the first heartbeat of that run, or if the port of the backend server was closed
+//! before. The agent may have missed flows of any other run, because it may have restarted, or a late
+//! heartbeat of an earlier run may have arrived first. The time of day doesn't matter, because clocks
+//! jump.
 
 use std::fmt;
 use std::time::Duration;
@@ -193,7 +193,7 @@
         } else {
             interval
         };
-        let is_heard = now.since(run.heard_at) < interval * MAX_MISSED_HEARTBEATS;
+        let is_heard = now.since(run.heard_at) < interval.saturating_mul(MAX_MISSED_HEARTBEATS);
         let was_replaced = self
             .replaced
             .as_ref()
