Name at most 200 balancers in a message

With more than about 300 balancers ever registered, gossip and replies to agents no longer fitted into the 2,048 bytes of a received datagram, so that no process got any.

A message names this balancer and up to 199 others, another part of them after each round of gossip. Smaller fleets see no change.

--- a/crates/lavenderseam_passthrough/src/balancer/mod.rs
+++ b/crates/lavenderseam_passthrough/src/balancer/mod.rs
@@ -68,6 +68,9 @@
 /// state is stale.
 const MAX_TICK_GAP: Duration = Duration::from_millis(1_000);
 
+/// Maximum number of balancers that a message names, so that it fits into a datagram: an address takes
+/// up to 7 bytes.
+const MAX_NAMED_BALANCERS: usize = 200;
 /// Maximum number of unheard agents that a balancer introduces itself to in one round of gossip, which
 /// bounds its messages in a large fleet.
 const MAX_INTRODUCTIONS_PER_ROUND: usize = 64;
@@ -565,9 +568,11 @@
         }
     }
 
+    /// Returns the balancers that a message names: this one, and as many others as fit.
     fn balancers(&self) -> Vec<SocketAddrV4> {
         let own = std::iter::once(self.identity.address);
-        own.chain(self.peers.addresses()).collect()
+        own.chain(self.peers.named(MAX_NAMED_BALANCERS - 1))
+            .collect()
     }
 
     /// Handles a packet of a flow that certainly has ended.
--- a/crates/lavenderseam_passthrough/src/balancer/peers.rs
+++ b/crates/lavenderseam_passthrough/src/balancer/peers.rs
@@ -180,6 +180,14 @@
         self.last_message_at.len()
     }
 
+    /// Returns the addresses of up to `limit` known balancers, others after each round of gossip.
+    pub(crate) fn named(&self, limit: usize) -> impl Iterator<Item = SocketAddrV4> {
+        let count = self.last_message_at.len();
+        let first = if count > limit { self.next_peer } else { 0 };
+        let addresses = self.last_message_at.keys().copied();
+        addresses.cycle().skip(first).take(limit.min(count))
+    }
+
     /// Returns the addresses of all known balancers.
     pub(crate) fn addresses(&self) -> impl Iterator<Item = SocketAddrV4> {
         self.last_message_at.keys().copied()
--- a/crates/lavenderseam_passthrough/tests/gossip.rs
+++ b/crates/lavenderseam_passthrough/tests/gossip.rs
@@ -4,7 +4,7 @@
 
 mod fixture;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::{Ipv4Addr, SocketAddrV4};
 
 use fixture::{BALANCER, agent, at_ms, balancer_hello};
@@ -14,7 +14,7 @@
 use lavenderseam_passthrough::balancer::{Action, Balancer, Identity};
 use lavenderseam_passthrough::desired::{RegisteredAgent, RegisteredBalancers};
 use lavenderseam_passthrough::message::{
-    Announcement, RecordVersions, TargetSnapshot, TargetState,
+    Announcement, Message, RecordVersions, TargetSnapshot, TargetState,
 };
 
 fn peer(index: u8) -> SocketAddrV4 {
@@ -222,3 +222,45 @@
     let outcome = balancer.on_announcement(&after, agent_address, at_ms(1_100));
     expect_that!(outcome.target_changed, eq(true));
 }
+
+/// Guards against messages that no process receives, because they name more balancers than a datagram
+/// holds.
+#[gtest]
+fn gossip_fits_into_a_datagram_in_a_large_fleet() {
+    const MAX_DATAGRAM_BYTES: usize = 2_048;
+    const BALANCERS: u32 = 1_000;
+    let address = |index: u32| SocketAddrV4::new(Ipv4Addr::from_bits(0x0a02_0000 + index), 7_000);
+    let mut balancer = balancer();
+    for index in 0..BALANCERS {
+        balancer.add_peer(address(index), at_ms(0));
+    }
+    let mut named = BTreeSet::new();
+    for round in 0..250 {
+        let now = at_ms(round * 500);
+        if round % 100 == 0 {
+            for index in 0..BALANCERS {
+                balancer.on_gossip(&RecordVersions::default(), address(index), now);
+            }
+        }
+        for action in balancer.tick(now) {
+            let Action::Gossip { gossip, .. } = action else {
+                continue;
+            };
+            named.extend(gossip.balancers.iter().copied());
+            let mut encoded = Vec::new();
+            Message::Gossip(gossip).encode(&[], &mut encoded).unwrap();
+            expect_that!(encoded.len(), le(MAX_DATAGRAM_BYTES));
+        }
+    }
+    expect_that!(named.len(), eq(1 + BALANCERS as usize));
+    let asks = Announcement {
+        wants_balancers: true,
+        ..Announcement::default()
+    };
+    let outcome = balancer.on_announcement(&asks, address(5_000), at_ms(125_000));
+    let mut encoded = Vec::new();
+    Message::Hello(outcome.reply)
+        .encode(&[], &mut encoded)
+        .unwrap();
+    expect_that!(encoded.len(), le(MAX_DATAGRAM_BYTES));
+}
