Go by the balancers that run, not by those that registered

A watch that had begun while a replaced balancer still counted kept its 20 s, and with many replaced balancers the silence after which one stops to count grew with them. Ruled out: the order is read late by the new watch (its first answer has it), gossip is lost (both balancers had silent watches).

A watch is given up once it has lasted for longer than the present number allows; log line watch_abandoned and a counter show it. Who reports silent agents, who collects and writes open flows, the number of partitions and the balancers that messages name follow those that run, too.

The test of watch_schedule needs a new function. In the tests of checkpoints another balancer that collects flows now sends gossip, without which it no longer counts; what they check is unchanged.

--- a/crates/lavenderseam_node/src/balancer/records.rs
+++ b/crates/lavenderseam_node/src/balancer/records.rs
@@ -409,8 +409,8 @@
 
     /// Returns the number of balancers that seem to run, including this one.
     #[must_use]
-    pub fn active_balancers(&self) -> usize {
-        self.driver.balancer.borrow().active_balancers(self.now())
+    pub fn running_balancers(&self) -> usize {
+        self.driver.balancer.borrow().running_balancers(self.now())
     }
 
     /// Returns `true` if the balancer has received no gossip of another one for some time.
@@ -447,6 +447,17 @@
         self.count_store_request(failed, duration);
     }
 
+    /// Counts and logs a watch that was given up because fewer balancers run than at its start.
+    pub fn log_abandoned_watch(&self, kind: RecordKind, lasted: Duration, balancers: usize) {
+        let process = &self.driver.process;
+        process.metrics.watches_abandoned.inc();
+        process.log(&Event::WatchAbandoned {
+            record: kind.name(),
+            lasted_ms: lasted.as_millis() as u64,
+            balancers,
+        });
+    }
+
     /// Counts a request to the store.
     ///
     /// `duration` is `None` for a watch, whose duration depends on when records change.
--- a/crates/lavenderseam_node/src/log/event.rs
+++ b/crates/lavenderseam_node/src/log/event.rs
@@ -148,6 +148,15 @@
         /// Why the records were listed, such as `start`, `history gone` or `restored`.
         reason: &'static str,
     },
+    /// A balancer has given up a watch because fewer balancers run than at its start.
+    WatchAbandoned {
+        /// Name of the kind of records.
+        record: &'static str,
+        /// Time that the watch has lasted, in milliseconds.
+        lasted_ms: u64,
+        /// Number of balancers that run, including this one.
+        balancers: usize,
+    },
     /// A balancer has discovered a target, or the state of a target has changed.
     Target {
         /// Address of the target's agent.
@@ -421,6 +430,7 @@
             Self::DisabledDomains { source, .. } => ("outs", *source),
             Self::RecordIgnored { record, .. } => ("ignored", *record),
             Self::RecordsListed { record, .. } => ("listed", *record),
+            Self::WatchAbandoned { record, .. } => ("watch_abandoned", *record),
             Self::Target { .. } => ("target", ""),
             Self::AgentExpired { .. } => ("forgot", ""),
             Self::SilenceReported { .. } => ("silence", ""),
--- a/crates/lavenderseam_node/src/metrics.rs
+++ b/crates/lavenderseam_node/src/metrics.rs
@@ -74,6 +74,8 @@
     pub store_errors: Counter,
     /// Number of requests to the store.
     pub store_calls: Counter,
+    /// Number of watches that were given up because fewer balancers run than at their start.
+    pub watches_abandoned: Counter,
     /// Number of records that were ignored because a newer one is held, by kind.
     pub records_ignored: Family<RecordLabel, Counter>,
     /// Time since the store last answered a list or watch, in seconds, by kind.
@@ -138,6 +140,11 @@
             self.store_calls.clone(),
         );
         registry.register("store_errors", "Failed calls", self.store_errors.clone());
+        registry.register(
+            "watches_abandoned",
+            "Watches given up early",
+            self.watches_abandoned.clone(),
+        );
         registry.register(
             "records_ignored",
             "Records older than those held",
--- a/crates/lavenderseam_passthrough/src/balancer/checkpoint.rs
+++ b/crates/lavenderseam_passthrough/src/balancer/checkpoint.rs
@@ -187,7 +187,7 @@
 
     /// Returns the reports and writes of open flows that are due.
     pub(super) fn checkpoint_actions(&mut self, now: Instant) -> Vec<Action> {
-        let partitions = self.checkpoint_partitions();
+        let partitions = self.checkpoint_partitions(now);
         let interval = self
             .settings
             .checkpoint_interval
@@ -240,7 +240,7 @@
         }
         let own = self.identity.address;
         let mut actions = Vec::new();
-        for to in self.collectors(partition_of(own, partitions)) {
+        for to in self.collectors(partition_of(own, partitions), now) {
             for report in &reports {
                 if to == own {
                     self.on_flow_report(report, own, now);
@@ -281,8 +281,8 @@
         })
     }
 
-    fn checkpoint_partitions(&self) -> u32 {
-        let balancers = self.peers.len() + 1;
+    fn checkpoint_partitions(&self, now: Instant) -> u32 {
+        let balancers = self.running_balancers(now);
         balancers.div_ceil(self.settings.balancers_per_checkpoint) as u32
     }
 
@@ -297,7 +297,7 @@
     /// before it.
     fn is_writer_of(&self, partition: u32, interval: Duration, now: Instant) -> bool {
         let own = self.identity.address;
-        let collectors = self.collectors(partition);
+        let collectors = self.collectors(partition, now);
         let Some(rank) = collectors.iter().position(|collector| *collector == own) else {
             return false;
         };
@@ -310,10 +310,10 @@
         self.can_write_checkpoints(now) && !collectors[..rank].iter().any(writes)
     }
 
-    /// Returns the balancers that rank first for a partition.
-    fn collectors(&self, partition: u32) -> Vec<SocketAddrV4> {
+    /// Returns the running balancers that rank first for a partition.
+    fn collectors(&self, partition: u32, now: Instant) -> Vec<SocketAddrV4> {
         let own = std::iter::once(self.identity.address);
-        let mut balancers: Vec<SocketAddrV4> = own.chain(self.peers.addresses()).collect();
+        let mut balancers: Vec<SocketAddrV4> = own.chain(self.peers.running(now)).collect();
         let rank = |balancer: &SocketAddrV4| score(address_key(*balancer), u64::from(partition));
         balancers.sort_by_key(|balancer| std::cmp::Reverse(rank(balancer)));
         balancers.truncate(COLLECTORS);
--- a/crates/lavenderseam_passthrough/src/balancer/mod.rs
+++ b/crates/lavenderseam_passthrough/src/balancer/mod.rs
@@ -299,7 +299,7 @@
         let effect = self.targets.on_announcement(agent, announcement, now);
         let mut hello = self.hello(&announcement.service, &announcement.domain);
         if announcement.wants_balancers {
-            hello.balancers = self.balancers();
+            hello.balancers = self.balancers(now);
         }
         AnnouncementOutcome {
             reply: hello,
@@ -312,7 +312,7 @@
     pub fn on_gossip(&mut self, gossip: &RecordVersions, from: SocketAddrV4, now: Instant) {
         self.peers
             .on_gossip(from, gossip, self.identity.address, now);
-        let own = self.gossip();
+        let own = self.gossip(now);
         self.peers.compare_records(gossip, &own, now);
     }
 
@@ -406,11 +406,13 @@
             self.last_gossip = now;
             actions.extend(self.introductions());
             actions.extend(self.introductions_to_unheard(now));
-            let mut gossip = self.gossip();
+            let mut gossip = self.gossip(now);
             if !offers_targets {
                 gossip.targets_digest = INCOMPLETE_TARGETS;
             }
-            for to in self.peers.next_gossip_peers(self.identity.address, now) {
+            let own = self.identity.address;
+            let interval = self.settings.gossip_interval;
+            for to in self.peers.next_gossip_peers(own, interval, now) {
                 let gossip = gossip.clone();
                 actions.push(Action::Gossip { to, gossip });
             }
@@ -459,8 +461,8 @@
 
     /// Returns the number of balancers that seem to run, including this one.
     #[must_use]
-    pub fn active_balancers(&self, now: Instant) -> usize {
-        1 + self.peers.active(self.settings.gossip_interval, now)
+    pub fn running_balancers(&self, now: Instant) -> usize {
+        1 + self.peers.running(now).count()
     }
 
     /// Returns the targets of a new flow's service, counted by availability; used to explain a
@@ -558,20 +560,20 @@
     }
 
     /// Returns the versions of all records held here.
-    fn gossip(&self) -> RecordVersions {
+    fn gossip(&self, now: Instant) -> RecordVersions {
         RecordVersions {
             desired_revision: self.revision(),
             out_domains_revision: self.out_of_service.ordered().revision,
             targets_digest: self.targets.digest(),
             rpc_address: Some(self.identity.rpc_address),
-            balancers: self.balancers(),
+            balancers: self.balancers(now),
         }
     }
 
-    /// Returns the balancers that a message names: this one, and as many others as fit.
-    fn balancers(&self) -> Vec<SocketAddrV4> {
+    /// Returns the balancers that a message names: this one, and as many others that run as fit.
+    fn balancers(&self, now: Instant) -> Vec<SocketAddrV4> {
         let own = std::iter::once(self.identity.address);
-        own.chain(self.peers.named(MAX_NAMED_BALANCERS - 1))
+        own.chain(self.peers.named(MAX_NAMED_BALANCERS - 1, now))
             .collect()
     }
 
--- a/crates/lavenderseam_passthrough/src/balancer/silence.rs
+++ b/crates/lavenderseam_passthrough/src/balancer/silence.rs
@@ -52,7 +52,7 @@
             .collect();
         for id in heard_again {
             if let Some(agent) = self.silence.reported.remove(&id)
-                && self.is_reporter_of(id)
+                && self.is_reporter_of(id, now)
             {
                 let is_silent = false;
                 actions.push(Action::ReportSilence { agent, is_silent });
@@ -70,7 +70,7 @@
             return actions;
         }
         for (id, agent) in silent {
-            if self.is_reporter_of(id) {
+            if self.is_reporter_of(id, now) {
                 self.silence.reported.insert(id, agent);
                 let is_silent = true;
                 actions.push(Action::ReportSilence { agent, is_silent });
@@ -88,14 +88,15 @@
         suspect <= running.count() / MAX_SUSPECT_DIVISOR
     }
 
-    /// Returns `true` if this balancer ranks among the first for a target.
-    fn is_reporter_of(&self, target: TargetId) -> bool {
+    /// Returns `true` if this balancer ranks among the first that run for a target.
+    fn is_reporter_of(&self, target: TargetId, now: Instant) -> bool {
         let rank = |address: SocketAddrV4| {
             let key = (u64::from(address.ip().to_bits()) << 16) | u64::from(address.port());
             score(key, u64::from(target.0))
         };
         let own_rank = rank(self.identity.address);
-        let better = self.peers.addresses().filter(|peer| rank(*peer) > own_rank);
+        let better = self.peers.running(now);
+        let better = better.filter(|peer| rank(*peer) > own_rank);
         better.count() < REPORTERS
     }
 }
--- a/crates/lavenderseam_passthrough/src/watch_schedule.rs
+++ b/crates/lavenderseam_passthrough/src/watch_schedule.rs
@@ -5,6 +5,9 @@
 //! of one kind of records early, in turn: the first answer of a restored store shows the new epoch,
 //! and gossip tells the others. The watches of other kinds are renewed at random times for a similar
 //! reason: connections may go silent for good, and nothing shows that but a new one.
+//!
+//! A long watch rests on the others that end theirs sooner. So a balancer gives a watch up once it has
+//! lasted for longer than the number of balancers that run by then would have let it last.
 
 use std::net::SocketAddrV4;
 use std::time::Duration;
@@ -33,6 +36,29 @@
 pub struct WatchSchedule {
     random: Sequence,
     changed_at: Option<Instant>,
+    current: Term,
+}
+
+/// What the duration of a watch is derived from.
+#[derive(Clone, Copy, Debug, Default)]
+struct Term {
+    /// Longest duration for each balancer.
+    per_balancer: Duration,
+    /// Upper bound of the longest duration.
+    bound: Duration,
+    /// Random fraction of the longest duration.
+    fraction: f64,
+}
+
+impl Term {
+    fn duration(&self, balancers: usize) -> Duration {
+        let balancers = u32::try_from(balancers).unwrap_or(u32::MAX);
+        let longest = self.per_balancer.saturating_mul(balancers);
+        let longest = longest.min(self.bound);
+        longest
+            .mul_f64(self.fraction)
+            .clamp(MIN_DURATION, MAX_DURATION)
+    }
 }
 
 impl WatchSchedule {
@@ -43,6 +69,7 @@
         Self {
             random: Sequence::new(seed),
             changed_at: None,
+            current: Term::default(),
         }
     }
 
@@ -61,30 +88,35 @@
     }
 
     /// Returns the duration of the next watch that must be renewed only because its connection may
-    /// have gone silent for good; `balancers` is the number of all balancers.
+    /// have gone silent for good; `balancers` is the number of balancers that run.
     ///
     /// The duration is random, so that soon after all connections have gone silent, some balancer
     /// watches on a new one, and its gossip tells the others.
     pub fn next_renewal(&mut self, balancers: usize) -> Duration {
-        let longest = longest_duration(RENEWAL_PER_BALANCER, balancers).min(MAX_DURATION);
-        self.random_duration(longest)
+        self.start(RENEWAL_PER_BALANCER, MAX_DURATION, balancers)
     }
 
     /// Returns the duration of the next watch that ends in turn with those of other balancers;
-    /// `balancers` is the number of all balancers.
+    /// `balancers` is the number of balancers that run.
     ///
     /// The duration is random, so that balancers whose watches all end at a change don't ask again
     /// at the same time.
     pub fn next_in_turn(&mut self, balancers: usize) -> Duration {
-        self.random_duration(longest_duration(DURATION_PER_BALANCER, balancers))
+        self.start(DURATION_PER_BALANCER, Duration::MAX, balancers)
     }
 
-    fn random_duration(&mut self, longest: Duration) -> Duration {
-        let duration = longest.mul_f64(self.random.next_fraction());
-        duration.clamp(MIN_DURATION, MAX_DURATION)
+    /// Returns the duration that the present watch would have had if `balancers` had run at its start.
+    #[must_use]
+    pub fn duration_for(&self, balancers: usize) -> Duration {
+        self.current.duration(balancers)
     }
-}
 
-fn longest_duration(per_balancer: Duration, balancers: usize) -> Duration {
-    per_balancer.saturating_mul(u32::try_from(balancers).unwrap_or(u32::MAX))
+    fn start(&mut self, per_balancer: Duration, bound: Duration, balancers: usize) -> Duration {
+        self.current = Term {
+            per_balancer,
+            bound,
+            fraction: self.random.next_fraction(),
+        };
+        self.current.duration(balancers)
+    }
 }
--- a/crates/lavenderseam_passthrough/tests/checkpoint.rs
+++ b/crates/lavenderseam_passthrough/tests/checkpoint.rs
@@ -11,8 +11,10 @@
 use fixture::{BACKEND_ISN, BALANCER, at_ms, flow, request};
 use googletest::prelude::*;
 use lavenderseam_passthrough::balancer::{Action, Checkpoint, StoredFlow, TooManyFlows};
-use lavenderseam_passthrough::desired::Repeatability;
-use lavenderseam_passthrough::message::{FlowReport, KnownFlow, TargetId, TargetState};
+use lavenderseam_passthrough::desired::{RegisteredBalancers, Repeatability};
+use lavenderseam_passthrough::message::{
+    FlowReport, KnownFlow, RecordVersions, TargetId, TargetState,
+};
 
 /// Uptime from which balancers write checkpoints.
 const MIN_UPTIME_MS: u64 = 10_000;
@@ -28,6 +30,17 @@
     times.flat_map(|ms| pool.tick(ms)).collect()
 }
 
+/// Ticks a balancer like [`tick_until`], beside another one that sends gossip.
+fn tick_beside(pool: &mut Pool, other: SocketAddrV4, from_ms: u64, to_ms: u64) -> Vec<Action> {
+    let times = (from_ms..to_ms).step_by(500);
+    let tick = |from: u64| {
+        let gossip = RecordVersions::default();
+        pool.balancer.on_gossip(&gossip, other, at_ms(from));
+        tick_until(pool, from, (from + 500).min(to_ms))
+    };
+    times.flat_map(tick).collect()
+}
+
 fn checkpoints(actions: &[Action]) -> Vec<Checkpoint> {
     let written = actions.iter().filter_map(|action| match action {
         Action::WriteCheckpoint { checkpoint, .. } => Some(checkpoint.clone()),
@@ -199,8 +212,7 @@
 /// Returns `true` if a balancer writes the flows of another one that also collects them.
 fn writes_beside(own: SocketAddrV4, other: SocketAddrV4, other_writes: bool) -> bool {
     let mut pool = Pool::without_targets(own, Repeatability::AtMostOnce);
-    pool.balancer.add_peer(other, at_ms(0));
-    tick_until(&mut pool, 100, MIN_UPTIME_MS);
+    tick_beside(&mut pool, other, 100, MIN_UPTIME_MS);
     let known = KnownFlow {
         flow: flow(1),
         target: TargetId::new(agent_address(1)),
@@ -213,7 +225,8 @@
     };
     pool.balancer
         .on_flow_report(&report, other, at_ms(MIN_UPTIME_MS));
-    let actions = tick_until(&mut pool, MIN_UPTIME_MS, MIN_UPTIME_MS + 2 * INTERVAL_MS);
+    let until = MIN_UPTIME_MS + 2 * INTERVAL_MS;
+    let actions = tick_beside(&mut pool, other, MIN_UPTIME_MS, until);
     !checkpoints(&actions).is_empty()
 }
 
@@ -232,11 +245,10 @@
 #[gtest]
 fn a_balancer_whose_writes_fail_says_so() {
     let mut pool = Pool::with_flows(&[1]);
-    pool.balancer.add_peer(peer(2), at_ms(700));
-    tick_until(&mut pool, 700, MIN_UPTIME_MS + INTERVAL_MS);
+    tick_beside(&mut pool, peer(2), 700, MIN_UPTIME_MS + INTERVAL_MS);
     pool.balancer.set_checkpoint_accepted(false);
     let from = MIN_UPTIME_MS + INTERVAL_MS;
-    let actions = tick_until(&mut pool, from, from + 2 * INTERVAL_MS);
+    let actions = tick_beside(&mut pool, peer(2), from, from + 2 * INTERVAL_MS);
     let says_it_writes = |(_, report): &(SocketAddrV4, FlowReport)| report.writes;
     expect_that!(reports(&actions).is_empty(), eq(false));
     expect_that!(reports(&actions).iter().any(says_it_writes), eq(false));
@@ -260,6 +272,27 @@
     expect_that!(writers, le(2));
 }
 
+/// Guards against flows that nobody writes: the balancers that rank first for the partition were replaced
+/// long ago, and their registrations remain.
+#[gtest]
+fn replaced_balancers_collect_no_flows() {
+    for replaced in 1..=30 {
+        let mut pool = Pool::with_flows(&[1]);
+        let registered = RegisteredBalancers {
+            balancers: (1..=replaced).map(peer).collect(),
+            ..RegisteredBalancers::default()
+        };
+        pool.balancer
+            .set_registered_balancers(&registered, at_ms(700));
+        let until = MIN_UPTIME_MS + 2 * INTERVAL_MS;
+        let actions = tick_until(&mut pool, 700, until);
+        expect_that!(checkpoints(&actions).len(), eq(1), "{replaced} replaced");
+        // All partitions together must not be written more rarely with each replaced balancer.
+        let actions = tick_until(&mut pool, until, until + 2 * INTERVAL_MS);
+        expect_that!(reports(&actions), is_empty(), "{replaced} replaced");
+    }
+}
+
 #[gtest]
 fn a_record_is_read_as_it_was_written() {
     let checkpoint = checkpoint_of(BALANCER, &[1, 2]);
--- a/crates/lavenderseam_passthrough/tests/gossip.rs
+++ b/crates/lavenderseam_passthrough/tests/gossip.rs
@@ -133,23 +133,154 @@
 /// rests on the number of balancers and registrations outlive them.
 #[gtest]
 fn replaced_balancers_are_not_counted() {
+    let mut balancer = beside_replaced(12);
+    expect_that!(balancer.running_balancers(at_ms(100)), eq(15));
+    run_beside_two(&mut balancer, 1..41);
+    expect_that!(balancer.running_balancers(at_ms(20_100)), eq(3));
+    // Those that have gone silent come last.
+    expect_that!(balancer.running_balancers(at_ms(60_000)), eq(1));
+}
+
+/// Returns a balancer beside two that run, with the registrations of others that were replaced.
+fn beside_replaced(replaced: u8) -> Balancer {
     let mut balancer = balancer();
     let registered = RegisteredBalancers {
-        balancers: (1..=14).map(peer).collect(),
+        balancers: (1..=replaced + 2).map(peer).collect(),
         ..RegisteredBalancers::default()
     };
     balancer.set_registered_balancers(&registered, at_ms(0));
-    expect_that!(balancer.active_balancers(at_ms(100)), eq(15));
-    for round in 1..=40 {
+    balancer
+}
+
+/// Runs a balancer beside those with the numbers 1 and 2; returns the recipients of its gossip by round.
+fn run_beside_two(balancer: &mut Balancer, rounds: std::ops::Range<u64>) -> Vec<Vec<SocketAddrV4>> {
+    let round = |round: u64| {
         for running in [1, 2] {
-            let gossip = RecordVersions::default();
-            balancer.on_gossip(&gossip, peer(running), at_ms(round * 500));
+            balancer.on_gossip(
+                &RecordVersions::default(),
+                peer(running),
+                at_ms(round * 500),
+            );
         }
-        gossip_recipients(&mut balancer, round * 500);
+        gossip_recipients(balancer, round * 500)
+    };
+    rounds.map(round).collect()
+}
+
+/// Guards against a change that gossip spreads too late, because most of it goes to balancers that were
+/// replaced.
+#[gtest]
+fn gossip_reaches_running_balancers_in_each_round_beside_many_replaced_ones() {
+    let mut balancer = beside_replaced(200);
+    run_beside_two(&mut balancer, 1..125);
+    let rounds = run_beside_two(&mut balancer, 125..325);
+    let mut others = BTreeSet::new();
+    for recipients in &rounds {
+        expect_that!(recipients, superset_of([&peer(1), &peer(2)]));
+        expect_that!(recipients.len(), le(4));
+        others.extend(recipients.iter().copied());
+    }
+    // A balancer that was cut off for long is told of as well.
+    expect_that!(others.len(), eq(202));
+}
+
+/// Guards against agents and balancers that are sent to balancers which were replaced.
+#[gtest]
+fn replaced_balancers_are_not_named() {
+    let mut balancer = beside_replaced(30);
+    run_beside_two(&mut balancer, 1..40);
+    let announcement = Announcement {
+        wants_balancers: true,
+        ..Announcement::default()
+    };
+    let agent = SocketAddrV4::new(Ipv4Addr::new(10, 2, 1, 1), 7_000);
+    let outcome = balancer.on_announcement(&announcement, agent, at_ms(20_000));
+    let named: BTreeSet<SocketAddrV4> = outcome.reply.balancers.into_iter().collect();
+    expect_that!(named, eq(&BTreeSet::from([BALANCER, peer(1), peer(2)])));
+}
+
+/// Guards against balancers that name a replaced one to each other for ever, each as news.
+#[gtest]
+fn balancers_forget_a_replaced_one_that_each_of_them_knew() {
+    let identity = |index: u8| Identity {
+        domain: "a".to_owned(),
+        address: peer(index),
+        rpc_address: peer(index),
+    };
+    let mut balancers = [1, 2, 3].map(|index| Balancer::new(identity(index)));
+    let replaced = peer(9);
+    let mut last_contact = 0;
+    for tick in 0..4_000 {
+        let now = at_ms(tick * 100);
+        // Each of them has heard it until another moment.
+        for (index, balancer) in balancers.iter_mut().enumerate() {
+            if tick <= 20 + 60 * index as u64 {
+                balancer.on_gossip(&RecordVersions::default(), replaced, now);
+            }
+        }
+        for sender in 0..balancers.len() {
+            for action in balancers[sender].tick(now) {
+                let Action::Gossip { to, gossip } = action else {
+                    continue;
+                };
+                if to == replaced {
+                    last_contact = tick;
+                }
+                let from = peer(sender as u8 + 1);
+                let receiver = (1..=3).position(|index| peer(index) == to);
+                if let Some(receiver) = receiver {
+                    balancers[receiver].on_gossip(&gossip, from, now);
+                }
+            }
+        }
+        if tick == 0 {
+            balancers[0].add_peer(peer(2), now);
+            balancers[1].add_peer(peer(3), now);
+        }
+    }
+    expect_that!(balancers[0].running_balancers(at_ms(400_000)), eq(3));
+    expect_that!(last_contact, le(140 + 2 * 600));
+}
+
+/// Guards against a failed agent that no balancer reports as silent: those that rank first for it were
+/// replaced, and their registrations remain. A balancer that starts would wait for the agent.
+#[gtest]
+fn a_silent_agent_is_reported_although_replaced_balancers_rank_first_for_it() {
+    for index in 0..30 {
+        let mut balancer = beside_replaced(100);
+        let agents: Vec<SocketAddrV4> = (0..=10)
+            .map(|number| SocketAddrV4::new(Ipv4Addr::new(10, 2, index, number), 7_000))
+            .collect();
+        let mut reported = Vec::new();
+        for tick in 0..200 {
+            let now = at_ms(tick * 100);
+            for agent in &agents {
+                let has_failed = *agent == agents[0] && tick > 100;
+                if !has_failed {
+                    let announcement = Announcement {
+                        sequence: tick,
+                        run: 1,
+                        state: TargetState::Ready,
+                        hears_recipient: true,
+                        ..Announcement::default()
+                    };
+                    balancer.on_announcement(&announcement, *agent, now);
+                }
+            }
+            balancer.on_gossip(&RecordVersions::default(), peer(1), now);
+            reported.extend(
+                balancer
+                    .tick(now)
+                    .into_iter()
+                    .filter_map(|action| match action {
+                        Action::ReportSilence { agent, is_silent } => Some((agent, is_silent)),
+                        _ => None,
+                    }),
+            );
+        }
+        // Beside one other balancer that runs, this one is among the first two.
+        expect_that!(reported, eq(&vec![(agents[0], true)]));
     }
-    expect_that!(balancer.active_balancers(at_ms(20_100)), eq(3));
-    // Those that have gone silent come last.
-    expect_that!(balancer.active_balancers(at_ms(60_000)), eq(1));
 }
 
 /// Guards against a running agent that is taken to have failed: its balancers were all replaced, and
--- a/crates/lavenderseam_passthrough/tests/watch_schedule.rs
+++ b/crates/lavenderseam_passthrough/tests/watch_schedule.rs
@@ -92,6 +92,21 @@
     }
 }
 
+/// Guards against a watch that lasts for 20 s after its connection has gone silent: most of the balancers
+/// that would have renewed theirs meanwhile have been replaced since it began.
+#[gtest]
+fn a_watch_lasts_no_longer_than_the_balancers_that_still_run_allow() {
+    for mut schedule in schedules(40) {
+        let duration = schedule.next_renewal(14);
+        expect_that!(schedule.duration_for(14), eq(duration));
+        expect_that!(schedule.duration_for(60), ge(duration));
+        expect_that!(schedule.duration_for(2), le(Duration::from_secs(3)));
+        let duration = schedule.next_in_turn(40);
+        expect_that!(schedule.duration_for(40), eq(duration));
+        expect_that!(schedule.duration_for(2), le(Duration::from_secs(1)));
+    }
+}
+
 /// Returns the time from `at` until the first balancer renews its watch.
 fn time_to_renewal(count: u8, at: Duration) -> Duration {
     let residual = |mut schedule: WatchSchedule| {
