Doubt expired flows once the maximum age of a flow is raised

An agent that had stopped tracking a flow after its maximum age denied it after the settings had raised that age, and its balancer reset it, although the backend server held it.

Cause: the agent takes a flow that it doesn't track for one that can't be open, on the premise that the maximum age in force was never lower before.

Change: the agent remembers the shortest idle time after which flows of the run have expired. If the maximum age becomes longer than that, it no longer denies unknown flows of this run, which are then verified at the backend server; a backend line says so.

With an unchanged or a lowered age flows are denied as before.

--- a/crates/lavenderseam_node/src/agent/driver.rs
+++ b/crates/lavenderseam_node/src/agent/driver.rs
@@ -76,7 +76,10 @@
         }
         self.add_seeds(&settings.seeds);
         if let Some(max_flow_age) = settings.max_flow_age {
-            self.agent.borrow_mut().set_max_flow_age(max_flow_age);
+            let doubts = self.agent.borrow_mut().set_max_flow_age(max_flow_age);
+            if doubts {
+                self.log_backend_state("", "maximum flow age raised");
+            }
         }
     }
 
@@ -258,6 +261,12 @@
 
     /// Logs that the backend server has exited, and announces it to the balancers.
     fn report_backend_exit(&self, id: &str, reason: &'static str) {
+        self.log_backend_state(id, reason);
+        self.announce();
+    }
+
+    /// Logs what the agent knows of the backend server, without a heartbeat.
+    fn log_backend_state(&self, id: &str, reason: &'static str) {
         self.process.log(&Event::BackendStateChanged {
             id: id.to_owned(),
             state: self.agent.borrow().target_state(),
@@ -265,7 +274,6 @@
             all_flows_seen: self.agent.borrow().has_seen_all_flows(),
             reason,
         });
-        self.announce();
     }
 
     /// Announces the state of the target to the balancers at once.
--- a/crates/lavenderseam_passthrough/src/agent/backend.rs
+++ b/crates/lavenderseam_passthrough/src/agent/backend.rs
@@ -63,6 +63,8 @@
     heard_at: Instant,
     /// `true` if the agent has seen every flow that this run may hold.
     all_flows_seen: bool,
+    /// Shortest idle time after which the agent has stopped tracking flows of this run.
+    expired_after: Option<Duration>,
     /// `true` if the port of the backend server was closed at the end of this run.
     port_closed: bool,
     /// `true` if the backend server has announced that it terminates.
@@ -277,6 +279,24 @@
         matches!(self.state, BackendState::Unknown)
     }
 
+    /// Records that the agent no longer tracks flows that were idle for `max_age`.
+    pub(crate) fn on_flows_expired(&mut self, max_age: Duration) {
+        if let BackendState::Running(run) = &mut self.state {
+            let lowest = run.expired_after.unwrap_or(max_age);
+            run.expired_after = Some(lowest.min(max_age));
+        }
+    }
+
+    /// Applies the maximum age of a flow; returns `true` if the backend server may therefore hold flows
+    /// that the agent no longer tracks.
+    pub(crate) fn on_max_flow_age(&mut self, max_age: Duration) -> bool {
+        let BackendState::Running(run) = &mut self.state else {
+            return false;
+        };
+        let has_forgotten = run.expired_after.is_some_and(|expired| expired < max_age);
+        has_forgotten && std::mem::replace(&mut run.all_flows_seen, false)
+    }
+
     /// Returns `true` if the agent has seen every flow that the backend server may hold.
     pub(crate) const fn has_seen_all_flows(&self) -> bool {
         match &self.state {
@@ -308,6 +328,7 @@
             warm_at: now + heartbeat.cold_remaining,
             heard_at: now,
             all_flows_seen,
+            expired_after: None,
             port_closed: false,
             departed: false,
         }
--- a/crates/lavenderseam_passthrough/src/agent/mod.rs
+++ b/crates/lavenderseam_passthrough/src/agent/mod.rs
@@ -208,9 +208,13 @@
         std::mem::replace(&mut self.registered, registered)
     }
 
-    /// Sets the maximum age of a flow, for which an idle flow is tracked.
-    pub const fn set_max_flow_age(&mut self, max_flow_age: Duration) {
+    /// Sets the maximum age of a flow, for which an idle flow is tracked; returns `true` if the agent
+    /// no longer denies unknown flows because of it.
+    ///
+    /// Flows that the agent has stopped tracking under a lower one may still be open.
+    pub fn set_max_flow_age(&mut self, max_flow_age: Duration) -> bool {
         self.settings.max_flow_age = max_flow_age;
+        self.backend.on_max_flow_age(max_flow_age)
     }
 
     /// Returns `true` if the agent must be registered.
@@ -473,6 +477,7 @@
         self.unconfirmed.expire(now);
         let mut actions = Vec::new();
         if expired > 0 {
+            self.backend.on_flows_expired(self.settings.max_flow_age);
             actions.push(Action::FlowsExpired {
                 flows: expired,
                 max_age: self.settings.max_flow_age,
--- a/crates/lavenderseam_passthrough/tests/agent.rs
+++ b/crates/lavenderseam_passthrough/tests/agent.rs
@@ -321,6 +321,28 @@
     expect_that!(is_delivered(&verdict), eq(true));
 }
 
+/// Guards against a flow that is denied after the maximum age was raised, because the agent had stopped
+/// tracking it under the lower one.
+#[gtest]
+fn flows_that_expired_under_a_lower_maximum_age_are_not_denied_under_a_higher_one() {
+    let denial_after = |ages_s: &[u64]| {
+        let mut agent = agent();
+        agent.set_max_flow_age(Duration::from_secs(20));
+        open_with_request(&mut agent, 1, at_ms(0));
+        agent.tick(at_ms(20_000));
+        for age in ages_s {
+            agent.set_max_flow_age(Duration::from_secs(*age));
+        }
+        let now = at_ms(20_100);
+        let verdict = agent.on_forwarded_packet(&request(1, 901), header(), BALANCER, now);
+        return_reason(&verdict)
+    };
+    expect_that!(denial_after(&[]), some(eq(Reason::NotHeld)));
+    expect_that!(denial_after(&[20, 10]), some(eq(Reason::NotHeld)));
+    expect_that!(denial_after(&[21]), none());
+    expect_that!(denial_after(&[10, 60, 20]), none());
+}
+
 /// Guards against a change of the maximum age that has no effect on open flows.
 #[gtest]
 fn the_maximum_age_in_force_decides_when_an_idle_flow_expires() {
