Notice a backend server that ends before its serving heartbeat

Found by reading: an agent waited for good for the serving heartbeat of a backend server that had crashed after its first one, and announced all the while that it may hold flows. The agent probes the port until the serving heartbeat now, as it does while it has heard nothing; a closed port ends the candidate.

Test: a_backend_server_that_ends_before_its_serving_heartbeat_is_noticed, which fails without the probe.

--- a/crates/lavenderseam_node/src/agent/driver.rs
+++ b/crates/lavenderseam_node/src/agent/driver.rs
@@ -76,8 +76,8 @@
         }
         self.add_seeds(&settings.seeds);
         if let Some(max_flow_age) = settings.max_flow_age {
-            let doubts = self.agent.borrow_mut().set_max_flow_age(max_flow_age);
-            if doubts {
+            let stops_denying = self.agent.borrow_mut().set_max_flow_age(max_flow_age);
+            if stops_denying {
                 self.log_backend_state("", "maximum flow age raised");
             }
         }
@@ -197,7 +197,7 @@
         let outcome = self.agent.borrow_mut().on_heartbeat(heartbeat, now);
         let reason = match outcome {
             Ok(HeartbeatEffect::Unchanged) => return HeartbeatReply::Acknowledged,
-            Ok(HeartbeatEffect::Starting { is_new: false }) => return HeartbeatReply::Awaited,
+            Ok(HeartbeatEffect::Starting { is_new: false }) => return HeartbeatReply::TooEarly,
             Ok(HeartbeatEffect::Starting { is_new: true }) => "starting",
             Ok(HeartbeatEffect::StateChanged) => "changed",
             Ok(HeartbeatEffect::Resumed) => "resumed",
@@ -224,7 +224,7 @@
         });
         self.announce();
         if matches!(outcome, Ok(HeartbeatEffect::Starting { .. })) {
-            HeartbeatReply::Awaited
+            HeartbeatReply::TooEarly
         } else {
             HeartbeatReply::Acknowledged
         }
--- a/crates/lavenderseam_node/src/agent/mod.rs
+++ b/crates/lavenderseam_node/src/agent/mod.rs
@@ -64,8 +64,8 @@
 pub enum HeartbeatReply {
     /// The heartbeat counts.
     Acknowledged,
-    /// The backend server has just started, and must send further heartbeats before it gets flows.
-    Awaited,
+    /// The backend server has just started, and gets flows from a later heartbeat on.
+    TooEarly,
     /// The heartbeat doesn't describe the current backend server.
     Rejected,
 }
--- a/crates/lavenderseam_passthrough/src/agent/backend.rs
+++ b/crates/lavenderseam_passthrough/src/agent/backend.rs
@@ -78,6 +78,7 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Backend {
     state: BackendState,
+    /// Run that has started, and gets no flows before its serving heartbeat.
     candidate: Option<Candidate>,
     /// Identifier and start of the last run that another one has replaced.
     replaced: Option<(String, Option<u64>)>,
@@ -284,8 +285,8 @@
             BackendState::Running(run) | BackendState::Terminated(run) => run.port_closed = true,
             BackendState::Absent => {}
         }
-        self.candidate = None;
-        self.mark_terminated()
+        let had_candidate = self.candidate.take().is_some();
+        self.mark_terminated() || had_candidate
     }
 
     /// Marks the current run as terminated; returns `true` if it was running.
--- a/crates/lavenderseam_passthrough/src/agent/mod.rs
+++ b/crates/lavenderseam_passthrough/src/agent/mod.rs
@@ -494,8 +494,10 @@
         if self.balancers.needs_lookup(&self.settings, now) {
             actions.push(Action::LookUpBalancers);
         }
-        let probes = self.backend.is_unknown() || self.backend.current_run().is_some();
-        if probes && self.liveness.take_probe_due(self.backend.is_unknown(), now) {
+        // A run that sends no further heartbeat before the serving one may have ended.
+        let is_uncertain = self.backend.is_unknown() || self.backend.has_candidate();
+        let probes = is_uncertain || self.backend.current_run().is_some();
+        if probes && self.liveness.take_probe_due(is_uncertain, now) {
             actions.push(Action::ProbeBackend);
         }
         actions.extend(self.due_announcements(now));
--- a/crates/lavenderseam_passthrough/src/balancer/peers.rs
+++ b/crates/lavenderseam_passthrough/src/balancer/peers.rs
@@ -36,8 +36,8 @@
     last_message_at: Option<Instant>,
     /// Time at which the address became known.
     known_since: Instant,
-    /// `true` if the address is known from the gossip of a third balancer.
-    is_hearsay: bool,
+    /// `true` if the address is known only from the gossip of a third balancer.
+    is_indirect: bool,
 }
 
 /// Other balancers known to this one.
@@ -80,7 +80,7 @@
         let heard = self
             .last_message_at
             .is_some_and(|at| now.since(at) < silence);
-        heard || (!self.is_hearsay && now.since(self.known_since) < MIN_SILENCE)
+        heard || (!self.is_indirect && now.since(self.known_since) < MIN_SILENCE)
     }
 }
 
@@ -100,7 +100,7 @@
             Peer {
                 last_message_at: None,
                 known_since: now,
-                is_hearsay: false,
+                is_indirect: false,
             }
         });
     }
@@ -115,7 +115,7 @@
         let named = Peer {
             last_message_at: known.and_then(|known| known.last_message_at),
             known_since: now,
-            is_hearsay: true,
+            is_indirect: true,
         };
         self.peers.insert(peer, named);
     }
--- a/crates/lavenderseam_passthrough/tests/agent_backend.rs
+++ b/crates/lavenderseam_passthrough/tests/agent_backend.rs
@@ -252,6 +252,25 @@
     expect_that!(is_delivered(&verdict), eq(true));
 }
 
+/// Guards against an agent that waits for good for the serving heartbeat of a backend server which has
+/// crashed, and announces meanwhile that it may hold flows.
+#[gtest]
+fn a_backend_server_that_ends_before_its_serving_heartbeat_is_noticed() {
+    let mut agent = agent();
+    agent.on_connection_refused(at_ms(10));
+    let mut next_run = heartbeat(1);
+    next_run.id = "b-2".to_owned();
+    agent.on_heartbeat(&next_run, at_ms(100)).unwrap();
+    expect_that!(agent.target_state(), eq(TargetState::Unknown));
+    expect_that!(
+        agent.tick(at_ms(1_200)),
+        contains(eq(&Action::ProbeBackend))
+    );
+    expect_that!(agent.on_connection_refused(at_ms(1_201)), eq(true));
+    expect_that!(agent.target_state(), eq(TargetState::Ended));
+    expect_that!(agent.on_connection_refused(at_ms(1_202)), eq(false));
+}
+
 /// Guards against an agent that believes a late first heartbeat of a run that has crashed: it would deny
 /// the flows of the running backend server, or report them as ended.
 #[gtest]
