Know a run of the backend server by two heartbeats in a row

An agent could deny a flow that its backend server held, although it went by the serving heartbeat: found by a new model and by its replay against the code, not seen by callers.

Cause: a single heartbeat was taken for a sign that its run is running. A late one of a run that has ended, or an early one that arrives after later ones had reached an agent before, made an agent let flows through to a run that the next agent then heard early, or claim that it had seen all flows. And of two runs the one that started later by the time of day was taken for the present one while its heartbeats arrived, so a run that started after a clock had been set back was rejected while flows were let through to it.

Change: an agent knows a run once two heartbeats have arrived in a row; all from an early one on, if it is to have seen all flows. No flow is let through before, nor while two runs contend; the known run must be heard twice to go on. No clock orders two runs any more, so the interval of heartbeats isn't needed (heartbeatMs of the settings is ignored).

The checks that a heartbeat of an earlier run is rejected at once are replaced: it isn't acknowledged, ends no flow, and the known run goes on after its next two; a run that the agent saw replaced is rejected as before. The check of the setting went with it.

--- a/crates/lavenderseam_node/src/agent/mod.rs
+++ b/crates/lavenderseam_node/src/agent/mod.rs
@@ -52,9 +52,6 @@
     pub readiness_address: SocketAddrV4,
     /// Address of the HTTP metrics endpoint.
     pub metrics_address: SocketAddrV4,
-    /// Time between an acknowledged heartbeat of the backend server and the next one; 0 if it is
-    /// unknown.
-    pub heartbeat_interval: Duration,
     /// Settings that may change while the process runs.
     pub dynamic: DynamicSettings,
 }
@@ -122,7 +119,6 @@
     };
     let limits = Limits {
         registration_timeout: REGISTRATION_TIMEOUT,
-        heartbeat_interval: settings.heartbeat_interval,
         ..Limits::default()
     };
     let any_port = SocketAddrV4::new(*settings.packet_address.ip(), 0);
--- a/crates/lavenderseam_passthrough/src/agent/backend.rs
+++ b/crates/lavenderseam_passthrough/src/agent/backend.rs
@@ -3,10 +3,13 @@
 //! An agent may deny a flow only if it has seen every flow of the current run of its backend server. It
 //! may have missed flows because it has restarted beside a running backend server, and nothing on the VM
 //! tells a process of the one before it. So no agent lets flows through to a run before a certain
-//! heartbeat of it, the serving one. An agent that hears a run earlier than that knows that no agent
-//! before it has let flows through; the same holds if the port of the backend server was closed before.
-//! Until the serving heartbeat, the run is a candidate: a late heartbeat of an earlier run may have
-//! arrived, which no further one will follow. The time of day doesn't matter, because clocks jump.
+//! heartbeat of it, the serving one. An agent that has received all heartbeats from an earlier one on
+//! knows that no agent before it has let flows through; the same holds if the port of the backend server
+//! was closed before.
+//!
+//! A single heartbeat may be a late one of a run that has ended. So a run is only a candidate until two
+//! heartbeats have arrived in a row, and no flow is let through meanwhile. The time of day doesn't matter,
+//! because clocks jump. `model/heartbeats.pml` shows that each of these rules is needed.
 
 use std::fmt;
 use std::time::Duration;
@@ -26,10 +29,6 @@
 /// Highest sequence number that a heartbeat can have: 13 years of ten heartbeats a second. A higher one
 /// would let all further heartbeats of the run look stale.
 const MAX_HEARTBEAT_SEQUENCE: u64 = 1 << 32;
-/// Number of intervals without a heartbeat after which a run no longer counts as heard.
-const MAX_MISSED_HEARTBEATS: u32 = 3;
-/// Interval of heartbeats if it isn't configured.
-const DEFAULT_HEARTBEAT_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Heartbeat of a backend server.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -62,8 +61,6 @@
     pub(crate) slots: u16,
     /// Time at which the backend server becomes warm.
     warm_at: Instant,
-    /// Time of the last heartbeat.
-    heard_at: Instant,
     /// `true` if the agent has seen every flow that this run may hold.
     all_flows_seen: bool,
     /// Shortest idle time after which the agent has stopped tracking flows of this run.
@@ -78,7 +75,7 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Backend {
     state: BackendState,
-    /// Run that has started, and gets no flows before its serving heartbeat.
+    /// Another run, of which a heartbeat has arrived.
     candidate: Option<Candidate>,
     /// Identifier and start of the last run that another one has replaced.
     replaced: Option<(String, Option<u64>)>,
@@ -99,15 +96,17 @@
     Terminated(BackendRun),
 }
 
-/// A run of the backend server before its serving heartbeat.
+/// A run of the backend server that isn't known to be running yet.
 #[derive(Clone, Debug, PartialEq, Eq)]
 struct Candidate {
     id: String,
     started_at_ms: Option<u64>,
-    /// Sequence number of the first heartbeat that the agent has received.
+    /// Sequence number of the first heartbeat from which on the agent has received all.
     first_sequence: u64,
     /// Sequence number of the last one.
     sequence: u64,
+    /// `true` if a heartbeat of the known run has arrived since.
+    is_contradicted: bool,
 }
 
 /// Effect of an accepted heartbeat.
@@ -119,7 +118,7 @@
     StateChanged,
     /// The known run continues, although it was taken to have terminated.
     Resumed,
-    /// Another run has started, which gets no flows before its serving heartbeat.
+    /// Another run seems to have started, and no flows are let through until that is certain.
     Starting {
         /// `true` if this is the first heartbeat of the run that the agent has received.
         is_new: bool,
@@ -145,9 +144,9 @@
 }
 
 impl Heartbeat {
-    /// Returns `true` if no agent has let flows through to the run when the heartbeat was sent.
-    const fn is_early(&self) -> bool {
-        self.sequence < SERVING_HEARTBEAT_SEQUENCE && !self.draining
+    /// Returns `true` if the run may get flows from this heartbeat on, or gets none anyway.
+    const fn may_serve(&self) -> bool {
+        self.sequence >= SERVING_HEARTBEAT_SEQUENCE || self.draining
     }
 
     /// Returns `true` if the heartbeat belongs to the run with this identifier and start.
@@ -158,95 +157,82 @@
 
 impl Backend {
     /// Processes a heartbeat.
-    ///
-    /// `interval` is the time between an acknowledged heartbeat and the next one; 0 if it is
-    /// unknown.
     pub(crate) fn apply(
         &mut self,
         heartbeat: &Heartbeat,
-        interval: Duration,
         now: Instant,
     ) -> Result<HeartbeatEffect, Rejection> {
         if heartbeat.sequence > MAX_HEARTBEAT_SEQUENCE {
             return Err(Rejection::ImplausibleSequence(heartbeat.sequence));
         }
-        match &mut self.state {
-            BackendState::Running(run) if run.is_run_of(heartbeat) => {
-                if heartbeat.sequence <= run.sequence {
-                    return Err(Rejection::Stale);
-                }
-                // Another run from which heartbeats have arrived can only be an earlier one.
-                let was_doubted = self.candidate.take().is_some();
-                let state_changed = was_doubted || run.draining != heartbeat.draining;
-                run.refresh(heartbeat, now);
-                return Ok(if state_changed {
-                    HeartbeatEffect::StateChanged
-                } else {
-                    HeartbeatEffect::Unchanged
-                });
-            }
-            BackendState::Terminated(run) if run.is_run_of(heartbeat) => {
-                if heartbeat.sequence <= run.sequence {
-                    return Err(Rejection::Stale);
-                }
-                run.refresh(heartbeat, now);
-                // The evidence of its end was wrong, so that it still holds its flows.
-                run.all_flows_seen = false;
-                self.state = BackendState::Running(run.clone());
-                self.candidate = None;
-                return Ok(HeartbeatEffect::Resumed);
+        if let BackendState::Running(run) | BackendState::Terminated(run) = &mut self.state
+            && run.is_run_of(heartbeat)
+        {
+            if heartbeat.sequence <= run.sequence {
+                return Err(Rejection::Stale);
             }
-            _ => {}
+            let state_changed = run.draining != heartbeat.draining;
+            run.refresh(heartbeat, now);
+            return Ok(self.continue_run(state_changed));
         }
-        if self.is_outdated(heartbeat, interval, now) {
+        if self.is_outdated(heartbeat) {
             return Err(Rejection::Stale);
         }
         let candidate = self.candidate.take();
-        let candidate = candidate.filter(|candidate| candidate.is_run_of(heartbeat));
-        if candidate
-            .as_ref()
-            .is_some_and(|candidate| heartbeat.sequence <= candidate.sequence)
+        let known = candidate.filter(|candidate| candidate.is_run_of(heartbeat));
+        if let Some(known) = &known
+            && heartbeat.sequence <= known.sequence
         {
-            self.candidate = candidate;
+            self.candidate = known.clone().into();
             return Err(Rejection::Stale);
         }
-        let first_heard = candidate.map(|candidate| candidate.first_sequence);
-        if heartbeat.is_early() {
-            self.candidate = Some(Candidate::new(heartbeat, first_heard));
-            let is_new = first_heard.is_none();
+        let is_new = known.is_none();
+        let previous = known.filter(|known| heartbeat.sequence == known.sequence + 1);
+        let first_sequence = previous.map_or(heartbeat.sequence, |known| known.first_sequence);
+        if first_sequence == heartbeat.sequence || !heartbeat.may_serve() {
+            self.candidate = Some(Candidate::new(heartbeat, first_sequence));
             return Ok(HeartbeatEffect::Starting { is_new });
         }
         let all_flows_seen = match &self.state {
-            BackendState::Unknown => first_heard.is_some(),
+            BackendState::Unknown => first_sequence < SERVING_HEARTBEAT_SEQUENCE,
             BackendState::Absent => true,
             // The agent may have let flows through to the new run in the belief that the known one
             // was still running, until it received a heartbeat of the new one.
             BackendState::Running(_) | BackendState::Terminated(_) => {
-                first_heard == Some(FIRST_HEARTBEAT_SEQUENCE) || self.has_closed_port()
+                first_sequence == FIRST_HEARTBEAT_SEQUENCE || self.has_closed_port()
             }
         };
         Ok(self.start_run(heartbeat, all_flows_seen, now))
     }
 
-    /// Returns `true` if a heartbeat of another run was sent before those of the current run.
+    /// Handles a further heartbeat of the known run.
     ///
-    /// A clock that was set back lets a new run look older than its predecessor, so this is only
-    /// concluded while heartbeats of the current run arrive.
-    fn is_outdated(&self, heartbeat: &Heartbeat, interval: Duration, now: Instant) -> bool {
-        let BackendState::Running(run) = &self.state else {
-            return false;
-        };
-        let interval = if interval.is_zero() {
-            DEFAULT_HEARTBEAT_INTERVAL
+    /// While another run is a candidate, one of the two has ended, and a late heartbeat of it may be
+    /// the last. So a single heartbeat doesn't end the candidate.
+    fn continue_run(&mut self, state_changed: bool) -> HeartbeatEffect {
+        if let Some(candidate) = &mut self.candidate
+            && !std::mem::replace(&mut candidate.is_contradicted, true)
+        {
+            return HeartbeatEffect::Starting { is_new: false };
+        }
+        let had_candidate = self.candidate.take().is_some();
+        if let BackendState::Terminated(run) = &mut self.state {
+            // The evidence of its end was wrong, so that it still holds its flows.
+            run.all_flows_seen = false;
+            self.state = BackendState::Running(run.clone());
+            HeartbeatEffect::Resumed
+        } else if state_changed || had_candidate {
+            HeartbeatEffect::StateChanged
         } else {
-            interval
-        };
-        let is_heard = now.since(run.heard_at) < interval.saturating_mul(MAX_MISSED_HEARTBEATS);
-        let was_replaced = self
-            .replaced
+            HeartbeatEffect::Unchanged
+        }
+    }
+
+    /// Returns `true` if a heartbeat belongs to a run that the known one has replaced.
+    fn is_outdated(&self, heartbeat: &Heartbeat) -> bool {
+        self.replaced
             .as_ref()
-            .is_some_and(|(id, started_at_ms)| heartbeat.belongs_to(id, *started_at_ms));
-        is_heard && (was_replaced || heartbeat.started_at_ms < run.started_at_ms)
+            .is_some_and(|(id, started_at_ms)| heartbeat.belongs_to(id, *started_at_ms))
     }
 
     /// Starts the run of a heartbeat.
@@ -355,7 +341,7 @@
         }
     }
 
-    /// Returns `true` if another run has started that gets no flows yet.
+    /// Returns `true` if another run seems to have started, so that no flows are let through.
     pub(crate) const fn has_candidate(&self) -> bool {
         self.candidate.is_some()
     }
@@ -375,14 +361,13 @@
 }
 
 impl Candidate {
-    /// Creates the candidate of a heartbeat; `first_sequence` is the sequence number of the first one
-    /// of the run, unless this is the first.
-    fn new(heartbeat: &Heartbeat, first_sequence: Option<u64>) -> Self {
+    fn new(heartbeat: &Heartbeat, first_sequence: u64) -> Self {
         Self {
             id: heartbeat.id.clone(),
             started_at_ms: heartbeat.started_at_ms,
-            first_sequence: first_sequence.unwrap_or(heartbeat.sequence),
+            first_sequence,
             sequence: heartbeat.sequence,
+            is_contradicted: false,
         }
     }
 
@@ -401,7 +386,6 @@
             draining: heartbeat.draining,
             slots: heartbeat.slots.max(1),
             warm_at: now + heartbeat.cold_remaining,
-            heard_at: now,
             all_flows_seen,
             expired_after: None,
             port_closed: false,
@@ -419,7 +403,6 @@
         self.draining = heartbeat.draining;
         self.slots = heartbeat.slots.max(1);
         self.warm_at = now + heartbeat.cold_remaining;
-        self.heard_at = now;
         self.port_closed = false;
         self.departed = false;
     }
--- a/crates/lavenderseam_passthrough/src/agent/mod.rs
+++ b/crates/lavenderseam_passthrough/src/agent/mod.rs
@@ -388,9 +388,7 @@
             return Err(Rejection::OtherService(heartbeat.service.clone()));
         }
         let was_starting = self.backend.has_candidate();
-        let outcome = self
-            .backend
-            .apply(heartbeat, self.settings.heartbeat_interval, now)?;
+        let outcome = self.backend.apply(heartbeat, now)?;
         match outcome {
             HeartbeatEffect::Unchanged => {}
             HeartbeatEffect::StateChanged => self.announce_to_all = true,
--- a/crates/lavenderseam_passthrough/src/agent/settings.rs
+++ b/crates/lavenderseam_passthrough/src/agent/settings.rs
@@ -5,9 +5,6 @@
 /// Timeouts and limits of an agent.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
-    /// Time between an acknowledged heartbeat of the backend server and the next one; 0 if it is
-    /// unknown.
-    pub heartbeat_interval: Duration,
     /// Time between announcements to a responsive balancer.
     pub announce_interval: Duration,
     /// Time for which the agent waits for its registration before it admits flows without it.
@@ -65,7 +62,6 @@
 impl Default for Settings {
     fn default() -> Self {
         Self {
-            heartbeat_interval: Duration::ZERO,
             announce_interval: Duration::from_millis(400),
             registration_timeout: Duration::ZERO,
             introduction_interval: Duration::from_millis(100),
--- /dev/null
+++ b/crates/lavenderseam_passthrough/tests/heartbeats.rs
@@ -0,0 +1,159 @@
+//! Replays the steps of the model `heartbeats` against an agent, in random order.
+
+#![expect(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
+
+mod fixture;
+
+use std::time::Duration;
+
+use fixture::{
+    BALANCER, agent_without_heartbeat, at_ms, header, heartbeat, is_delivered, open_with_request,
+    request, return_reason, syn,
+};
+use googletest::prelude::*;
+use lavenderseam_core::random::Sequence;
+use lavenderseam_core::time::Instant;
+use lavenderseam_passthrough::agent::{Agent, Heartbeat};
+use lavenderseam_passthrough::message::Reason;
+
+const SEEDS: u64 = 20_000;
+const STEPS: u64 = 40;
+
+/// An agent, its backend server, and a heartbeat that is under way.
+struct Pair {
+    agent: Agent,
+    /// Number of the backend server's run.
+    run: u64,
+    /// Start of the run by a clock that jumps.
+    started_at_ms: u64,
+    sent: u64,
+    late: Option<Heartbeat>,
+    /// Flows that the backend server holds, by the ports of their callers.
+    held: Vec<u16>,
+    last_port: u16,
+    now: Instant,
+    random: Sequence,
+}
+
+impl Pair {
+    fn new(seed: u64) -> Self {
+        Self {
+            agent: agent_without_heartbeat(),
+            run: 0,
+            started_at_ms: 1_000,
+            sent: 1,
+            late: None,
+            held: Vec::new(),
+            last_port: 0,
+            now: at_ms(0),
+            random: Sequence::new(seed),
+        }
+    }
+
+    /// Draws a number below `end`.
+    fn draw(&mut self, end: u32) -> u32 {
+        (self.random.next_fraction() * f64::from(end)) as u32
+    }
+
+    fn heartbeat(&self) -> Heartbeat {
+        Heartbeat {
+            id: format!("b-{}", self.run),
+            started_at_ms: Some(self.started_at_ms),
+            ..heartbeat(self.sent)
+        }
+    }
+
+    fn receive(&mut self, heartbeat: &Heartbeat) {
+        // A heartbeat may be rejected.
+        let _ = self.agent.on_heartbeat(heartbeat, self.now);
+    }
+
+    fn send_heartbeat(&mut self) {
+        self.sent += 1;
+        let heartbeat = self.heartbeat();
+        match self.draw(8) {
+            0 => {}
+            1 => self.late = self.late.take().or(Some(heartbeat)),
+            _ => self.receive(&heartbeat),
+        }
+    }
+
+    fn open_flow(&mut self) {
+        let port = self.last_port + 1;
+        let verdict =
+            self.agent
+                .clone()
+                .on_forwarded_packet(&syn(port), header(), BALANCER, self.now);
+        if is_delivered(&verdict) && self.held.len() < 2 {
+            open_with_request(&mut self.agent, port, self.now);
+            self.last_port = port;
+            self.held.push(port);
+        }
+    }
+
+    fn restart_backend(&mut self) {
+        self.run += 1;
+        self.started_at_ms = 1 + u64::from(self.draw(2_000));
+        self.sent = 1;
+        self.held.clear();
+    }
+
+    fn step(&mut self) {
+        self.now = self.now + Duration::from_millis(1 + u64::from(self.draw(400)));
+        match self.draw(20) {
+            0..9 => self.send_heartbeat(),
+            9..12 => {
+                if let Some(late) = self.late.take() {
+                    self.receive(&late);
+                }
+            }
+            12..16 => self.open_flow(),
+            16 | 17 => self.agent = agent_without_heartbeat(),
+            18 => {
+                self.restart_backend();
+                if self.draw(2) == 0 {
+                    self.agent.on_connection_refused(self.now);
+                }
+                let first = self.heartbeat();
+                self.receive(&first);
+            }
+            _ => {
+                self.restart_backend();
+                self.agent = agent_without_heartbeat();
+                if self.draw(2) == 0 {
+                    self.late = Some(self.heartbeat());
+                }
+            }
+        }
+    }
+
+    /// Returns the reason for which the agent denies a flow that its backend server holds.
+    fn wrong_denial(&self) -> Option<Reason> {
+        self.held.iter().find_map(|port| {
+            let mut agent = self.agent.clone();
+            let verdict =
+                agent.on_forwarded_packet(&request(*port, 901), header(), BALANCER, self.now);
+            return_reason(&verdict)
+        })
+    }
+}
+
+/// Guards against an agent that takes a running backend server for new or ended, by heartbeats that are
+/// lost or late, and denies its open flows.
+#[gtest]
+fn held_flows_are_never_denied() {
+    let mut opened = 0;
+    let mut denying = 0;
+    for seed in 0..SEEDS {
+        let mut pair = Pair::new(seed);
+        for step in 0..STEPS {
+            pair.step();
+            assert_that!(pair.wrong_denial(), none(), "seed {seed}, step {step}");
+            denying += u64::from(pair.agent.has_seen_all_flows());
+        }
+        opened += u64::from(pair.last_port);
+    }
+    // The sequences reach what they are about.
+    expect_that!(opened, ge(SEEDS));
+    expect_that!(denying, ge(SEEDS));
+}
