Decode the records of another balancer part by part

Records that balancers fetch from each other were decoded as a whole, so that one target of a later version, or any other part that can't be read, would have kept the desired state and the orders from a balancer that can't reach the store.

Change: the targets are decoded one by one and the other records each on its own, as in answers of the store; each part that is left out is logged.

--- a/crates/lavenderseam_node/src/balancer/records.rs
+++ b/crates/lavenderseam_node/src/balancer/records.rs
@@ -7,13 +7,16 @@
 
 use ::http::StatusCode;
 use lavenderseam_core::catalog::{Epoch, Revision};
+use lavenderseam_core::json;
 use lavenderseam_core::time::Instant;
 use lavenderseam_passthrough::balancer::Checkpoint;
 use lavenderseam_passthrough::desired::{
     CarriedOverDomains, DesiredState, OutOfServiceDomains, RegisteredAgent, RegisteredBalancers,
 };
 use lavenderseam_passthrough::message::TargetSnapshot;
+use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
+use serde_json::{Map, Value};
 
 use super::Handle;
 use super::driver::Driver;
@@ -22,6 +25,8 @@
 use crate::log::{DependencyChange, Event, LogKey};
 use crate::metrics::RecordLabel;
 
+/// Member of the response with the list of targets.
+const TARGETS: &str = "targets";
 /// HTTP path at which a balancer serves its records to others.
 const RECORDS_PATH: &str = "/records";
 /// Timeout of a request for another balancer's records.
@@ -108,8 +113,14 @@
             status: StatusCode::OK,
             body,
             ..
-        }) => match serde_json::from_slice::<Records>(&body) {
-            Ok(records) => {
+        }) => match Records::decode(&body) {
+            Ok((records, errors)) => {
+                for error in errors {
+                    driver.process.log(&Event::MalformedInput {
+                        source: "balancer",
+                        error: format!("records of {address}: {error}"),
+                    });
+                }
                 driver.observe_epoch(records.epoch(), RecordSource::Peer);
                 if let Some(desired_state) = records.desired_state {
                     driver.apply_desired_state(desired_state, RecordSource::Peer);
@@ -138,6 +149,35 @@
 }
 
 impl Records {
+    /// Decodes the records of another balancer.
+    ///
+    /// Returns them without what can't be read, and an error for each part that is left out.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the text isn't an object with a list of targets.
+    pub fn decode(text: &[u8]) -> Result<(Self, Vec<String>), serde_json::Error> {
+        let json::Answer {
+            entries,
+            mut members,
+        } = json::Answer::decode(text, TARGETS)?;
+        let mut errors = Vec::new();
+        let mut targets = Vec::with_capacity(entries.len());
+        for entry in entries {
+            match TargetSnapshot::deserialize(entry.value) {
+                Ok(target) => targets.push(target),
+                Err(error) => errors.push(format!("target: {error}")),
+            }
+        }
+        let records = Self {
+            desired_state: take_member(&mut members, "desired", &mut errors),
+            disabled_domains: take_member(&mut members, "outs", &mut errors),
+            carried_over: take_member(&mut members, "carried_over", &mut errors),
+            targets,
+        };
+        Ok((records, errors))
+    }
+
     /// Returns the newest epoch of the records.
     fn epoch(&self) -> Epoch {
         let desired_state = self.desired_state.as_ref();
@@ -146,6 +186,21 @@
     }
 }
 
+/// Removes and decodes a member; returns the default, and adds an error, if it can't be read.
+fn take_member<T: DeserializeOwned + Default>(
+    members: &mut Map<String, Value>,
+    name: &str,
+    errors: &mut Vec<String>,
+) -> T {
+    // A member that isn't valid JSON is missing here.
+    let value = members.remove(name).ok_or("missing or invalid".to_owned());
+    let decoded = value.and_then(|value| T::deserialize(value).map_err(|error| error.to_string()));
+    decoded.unwrap_or_else(|error| {
+        errors.push(format!("{name}: {error}"));
+        T::default()
+    })
+}
+
 impl<C: PacketCodec> Driver<C> {
     /// Records an epoch of the store, which wakes the tasks that wait for a newer one.
     pub(super) fn observe_epoch(&self, epoch: Epoch, source: RecordSource) {
