Name the reason, the sender and the numbers of a rejected heartbeat

Cause: an agent logged every rejected heartbeat as "out of order or from an earlier run", without its sender. Change: the rejections of out-of-order heartbeats and of those of a replaced run are separate errors. A line "heartbeat" has id, start and sequence of the sender, the reason, and the value that decided it; the counter lavenderseam_heartbeats_rejected_total has the reason as its label.

--- a/crates/lavenderseam_node/src/agent/driver.rs
+++ b/crates/lavenderseam_node/src/agent/driver.rs
@@ -9,7 +9,7 @@
 use ::http::StatusCode;
 use lavenderseam_core::time::Instant;
 use lavenderseam_passthrough::agent::{
-    Action, Agent, Heartbeat, HeartbeatEffect, OutboundVerdict, RequestOutcome, Verdict,
+    Action, Agent, Heartbeat, HeartbeatEffect, OutboundVerdict, Rejection, RequestOutcome, Verdict,
     Verification,
 };
 use lavenderseam_passthrough::message::{ForwardHeader, Message, ReturnHeader};
@@ -21,7 +21,7 @@
 use crate::codec::PacketCodec;
 use crate::http::{Request, Service, ServiceResponse};
 use crate::log::{DependencyChange, Event, LogKey};
-use crate::metrics::{DisplayLabel, ReasonLabel};
+use crate::metrics::{DisplayLabel, ReasonLabel, RejectionLabel};
 use crate::process::{DynamicSettings, ProcessContext};
 use crate::socket::DatagramSocket;
 
@@ -210,7 +210,7 @@
                 ..
             }) => "replaced",
             Err(rejection) => {
-                self.process.record_malformed("backend", &rejection);
+                self.record_rejection(heartbeat, &rejection);
                 return HeartbeatReply::Rejected;
             }
         };
@@ -230,6 +230,21 @@
         }
     }
 
+    /// Counts and logs a heartbeat that the agent rejects.
+    fn record_rejection(&self, heartbeat: &Heartbeat, rejection: &Rejection) {
+        let reason = rejection.name();
+        let label = RejectionLabel { reason };
+        let rejected = &self.process.metrics.heartbeats_rejected;
+        rejected.get_or_create(&label).inc();
+        self.process.log(&Event::HeartbeatRejected {
+            id: heartbeat.id.clone(),
+            started_at_ms: heartbeat.started_at_ms,
+            sequence: heartbeat.sequence,
+            reason,
+            error: rejection.to_string(),
+        });
+    }
+
     /// Handles the deregistration of the backend server with this instance id.
     pub(crate) fn handle_deregistration(&self, id: &str) {
         let now = self.process.clock.now();
--- a/crates/lavenderseam_node/src/log/event.rs
+++ b/crates/lavenderseam_node/src/log/event.rs
@@ -311,6 +311,21 @@
         /// What caused the change, such as `started` or `port closed`.
         reason: &'static str,
     },
+    /// An agent has rejected a heartbeat.
+    #[serde(rename = "heartbeat")]
+    HeartbeatRejected {
+        /// Instance id of the sender.
+        id: String,
+        /// Start time of the sender in milliseconds since the Unix epoch, as it reports it.
+        #[serde(rename = "started_at")]
+        started_at_ms: Option<u64>,
+        /// Sequence number of the heartbeat.
+        sequence: u64,
+        /// Name of the reason, such as `out of order`.
+        reason: &'static str,
+        /// The reason, with the value that decided it.
+        error: String,
+    },
     /// Input could not be decoded.
     #[serde(rename = "malformed")]
     MalformedInput {
@@ -437,6 +452,7 @@
             Self::CheckpointWritten { .. } => return Some(LogKey::CHECKPOINT_WRITTEN),
             Self::CheckpointRestored { .. } => ("checkpoint_restored", ""),
             Self::BackendStateChanged { reason, .. } => ("backend", *reason),
+            Self::HeartbeatRejected { reason, .. } => ("heartbeat", *reason),
             Self::MalformedInput { source, .. } => ("malformed", *source),
             Self::SocketFailed { socket, .. } => ("socket", *socket),
             Self::LinesSuppressed { .. } => ("suppressed", ""),
--- a/crates/lavenderseam_node/src/metrics.rs
+++ b/crates/lavenderseam_node/src/metrics.rs
@@ -44,6 +44,13 @@
     pub record: &'static str,
 }
 
+/// Label set of rejected heartbeats.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct RejectionLabel {
+    /// Name of the reason for which an agent rejected the heartbeat.
+    pub reason: &'static str,
+}
+
 /// Metrics of a process; each field is named as its metric, without the prefix.
 #[derive(Debug, Default)]
 pub struct Metrics {
@@ -68,6 +75,8 @@
     pub verifications: Counter,
     /// Number of inputs that could not be decoded, such as packets, messages and records.
     pub malformed: Counter,
+    /// Number of readable heartbeats that an agent rejected, by reason.
+    pub heartbeats_rejected: Family<RejectionLabel, Counter>,
     /// Number of failed operations on sockets.
     pub socket_errors: Counter,
     /// Number of requests to the store that failed.
@@ -129,6 +138,11 @@
         let verifications = self.verifications.clone();
         registry.register("verifications", "Copies to verify flows", verifications);
         registry.register("malformed", "Unreadable input", self.malformed.clone());
+        registry.register(
+            "heartbeats_rejected",
+            "Heartbeats rejected",
+            self.heartbeats_rejected.clone(),
+        );
         registry.register(
             "socket_errors",
             "Socket failures",
--- a/crates/lavenderseam_passthrough/src/agent/backend.rs
+++ b/crates/lavenderseam_passthrough/src/agent/backend.rs
@@ -135,8 +135,10 @@
 /// Reason for which a heartbeat is rejected.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Rejection {
-    /// The heartbeat belongs to an earlier run, or is older than one accepted before.
-    Stale,
+    /// A later heartbeat of the same run has arrived before; holds the number of the last one.
+    OutOfOrder(u64),
+    /// The heartbeat belongs to the run that the known one has replaced.
+    Replaced,
     /// The sender belongs to another service; holds the name of that service.
     OtherService(String),
     /// The sequence number is higher than any backend server reaches; holds the number.
@@ -169,22 +171,23 @@
             && run.is_run_of(heartbeat)
         {
             if heartbeat.sequence <= run.sequence {
-                return Err(Rejection::Stale);
+                return Err(Rejection::OutOfOrder(run.sequence));
             }
             let state_changed = run.draining != heartbeat.draining;
             run.refresh(heartbeat, now);
             return Ok(self.continue_run(state_changed));
         }
         if self.is_outdated(heartbeat) {
-            return Err(Rejection::Stale);
+            return Err(Rejection::Replaced);
         }
         let candidate = self.candidate.take();
         let known = candidate.filter(|candidate| candidate.is_run_of(heartbeat));
         if let Some(known) = &known
             && heartbeat.sequence <= known.sequence
         {
+            let last = known.sequence;
             self.candidate = known.clone().into();
-            return Err(Rejection::Stale);
+            return Err(Rejection::OutOfOrder(last));
         }
         let is_new = known.is_none();
         let previous = known.filter(|known| heartbeat.sequence == known.sequence + 1);
@@ -418,10 +421,31 @@
     }
 }
 
+impl Rejection {
+    /// Returns the name of the reason, as logs and metrics have it.
+    #[must_use]
+    pub const fn name(&self) -> &'static str {
+        match self {
+            Self::OutOfOrder(_) => "out of order",
+            Self::Replaced => "replaced",
+            Self::OtherService(_) => "other service",
+            Self::ImplausibleSequence(_) => "implausible sequence",
+        }
+    }
+}
+
 impl fmt::Display for Rejection {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Self::Stale => formatter.write_str("heartbeat is out of order or from an earlier run"),
+            Self::OutOfOrder(last) => {
+                write!(
+                    formatter,
+                    "heartbeat {last} of the same run has arrived before"
+                )
+            }
+            Self::Replaced => {
+                formatter.write_str("another run has replaced the one that sent the heartbeat")
+            }
             Self::ImplausibleSequence(sequence) => {
                 write!(
                     formatter,
--- a/crates/lavenderseam_passthrough/tests/agent_backend.rs
+++ b/crates/lavenderseam_passthrough/tests/agent_backend.rs
@@ -109,12 +109,12 @@
     start_backend(&mut agent, &next_run, at_ms(1)).unwrap();
     expect_that!(
         agent.on_heartbeat(&heartbeat_after_serving(3), at_ms(1)),
-        err(eq(&Rejection::Stale))
+        err(eq(&Rejection::Replaced))
     );
     next_run.sequence = 1;
     expect_that!(
         agent.on_heartbeat(&next_run, at_ms(1)),
-        err(eq(&Rejection::Stale))
+        err(eq(&Rejection::OutOfOrder(SERVING_HEARTBEAT_SEQUENCE)))
     );
     let mut other_service = heartbeat_after_serving(1);
     other_service.service = "maps".to_owned();
@@ -254,7 +254,7 @@
         expect_that!(is_delivered(&verdict), eq(true));
         // A heartbeat that arrives again isn't the next one.
         let again = agent.on_heartbeat(&heartbeat(sequence), at_ms(sequence));
-        expect_that!(again, err(eq(&Rejection::Stale)));
+        expect_that!(again, err(eq(&Rejection::OutOfOrder(sequence))));
     }
     let serving = heartbeat(SERVING_HEARTBEAT_SEQUENCE);
     agent.on_heartbeat(&serving, at_ms(10)).unwrap();
@@ -421,7 +421,7 @@
     // The predecessor isn't taken for another new run.
     expect_that!(
         agent.on_heartbeat(&heartbeat_after_serving(1), at_ms(71)),
-        err(eq(&Rejection::Stale))
+        err(eq(&Rejection::Replaced))
     );
 }
 
