Take only heartbeats of the backend server beside the agent

Cause: any call that could be read as a heartbeat counted as one of the backend server beside the agent. Its address was optional and compared with nothing; failure domain and version were not read; start and warm-up time could be missing. Two such calls of another writer replaced the running backend server, whose heartbeats were rejected from then on. Change: the adapter requires every field that a backend server sends, with a type and value that it can have. The agent knows the address of its backend server and rejects heartbeats of another address or failure domain, with reason, log line and counter, as it did for another service. Why this works: nothing of a rejected heartbeat reaches the state of the backend server, so it neither replaces a run nor delays its heartbeats.

--- a/crates/lavenderseam_node/src/agent/mod.rs
+++ b/crates/lavenderseam_node/src/agent/mod.rs
@@ -115,6 +115,7 @@
     let place = Identity {
         service: settings.service.clone(),
         domain: settings.domain.clone(),
+        backend_address: settings.backend_address,
         run_id: random_run_id()?,
     };
     let limits = Limits {
--- a/crates/lavenderseam_node/src/log/event.rs
+++ b/crates/lavenderseam_node/src/log/event.rs
@@ -318,7 +318,7 @@
         id: String,
         /// Start time of the sender in milliseconds since the Unix epoch, as it reports it.
         #[serde(rename = "started_at")]
-        started_at_ms: Option<u64>,
+        started_at_ms: u64,
         /// Sequence number of the heartbeat.
         sequence: u64,
         /// Name of the reason, such as `out of order`.
--- a/crates/lavenderseam_passthrough/src/agent/backend.rs
+++ b/crates/lavenderseam_passthrough/src/agent/backend.rs
@@ -12,6 +12,7 @@
 //! because clocks jump. `model/heartbeats.pml` shows that each of these rules is needed.
 
 use std::fmt;
+use std::net::SocketAddrV4;
 use std::time::Duration;
 
 use lavenderseam_core::time::Instant;
@@ -35,13 +36,16 @@
 pub struct Heartbeat {
     /// Identifier of the backend server.
     pub id: String,
-    /// Start time of the backend server in milliseconds since the Unix epoch; `None` if it isn't
-    /// reported.
-    pub started_at_ms: Option<u64>,
+    /// Start time of the backend server in milliseconds since the Unix epoch.
+    pub started_at_ms: u64,
     /// Sequence number of the heartbeat within one run of the backend server.
     pub sequence: u64,
     /// Name of the service that the backend server belongs to.
     pub service: String,
+    /// Address at which the backend server receives packets.
+    pub address: SocketAddrV4,
+    /// Failure domain of the backend server.
+    pub domain: String,
     /// `true` if the backend server is draining and accepts no new flows.
     pub draining: bool,
     /// Requests that the backend server processes concurrently.
@@ -54,7 +58,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct BackendRun {
     id: String,
-    started_at_ms: Option<u64>,
+    started_at_ms: u64,
     sequence: u64,
     draining: bool,
     /// Requests that the backend server processes concurrently.
@@ -78,7 +82,7 @@
     /// Another run, of which a heartbeat has arrived.
     candidate: Option<Candidate>,
     /// Identifier and start of the last run that another one has replaced.
-    replaced: Option<(String, Option<u64>)>,
+    replaced: Option<(String, u64)>,
 }
 
 /// State of the backend server beside the agent.
@@ -100,7 +104,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 struct Candidate {
     id: String,
-    started_at_ms: Option<u64>,
+    started_at_ms: u64,
     /// Sequence number of the first heartbeat from which on the agent has received all.
     first_sequence: u64,
     /// Sequence number of the last one.
@@ -141,7 +145,11 @@
     Replaced,
     /// The sender belongs to another service; holds the name of that service.
     OtherService(String),
-    /// The sequence number is higher than any backend server reaches; holds the number.
+    /// The sender receives packets at another address than the backend server; holds that address.
+    OtherAddress(SocketAddrV4),
+    /// The sender belongs to another failure domain; holds the name of that domain.
+    OtherDomain(String),
+    /// The sequence number is one that no backend server sends; holds the number.
     ImplausibleSequence(u64),
 }
 
@@ -152,7 +160,7 @@
     }
 
     /// Returns `true` if the heartbeat belongs to the run with this identifier and start.
-    fn belongs_to(&self, id: &str, started_at_ms: Option<u64>) -> bool {
+    fn belongs_to(&self, id: &str, started_at_ms: u64) -> bool {
         self.id == id && self.started_at_ms == started_at_ms
     }
 }
@@ -164,7 +172,7 @@
         heartbeat: &Heartbeat,
         now: Instant,
     ) -> Result<HeartbeatEffect, Rejection> {
-        if heartbeat.sequence > MAX_HEARTBEAT_SEQUENCE {
+        if !(FIRST_HEARTBEAT_SEQUENCE..=MAX_HEARTBEAT_SEQUENCE).contains(&heartbeat.sequence) {
             return Err(Rejection::ImplausibleSequence(heartbeat.sequence));
         }
         if let BackendState::Running(run) | BackendState::Terminated(run) = &mut self.state
@@ -429,6 +437,8 @@
             Self::OutOfOrder(_) => "out of order",
             Self::Replaced => "replaced",
             Self::OtherService(_) => "other service",
+            Self::OtherAddress(_) => "other address",
+            Self::OtherDomain(_) => "other domain",
             Self::ImplausibleSequence(_) => "implausible sequence",
         }
     }
@@ -449,7 +459,7 @@
             Self::ImplausibleSequence(sequence) => {
                 write!(
                     formatter,
-                    "sequence number {sequence} of the heartbeat is too high"
+                    "no backend server sends a heartbeat with sequence number {sequence}"
                 )
             }
             Self::OtherService(service) => {
@@ -458,6 +468,18 @@
                     "heartbeat comes from a backend server of another service, {service:?}"
                 )
             }
+            Self::OtherAddress(address) => {
+                write!(
+                    formatter,
+                    "heartbeat comes from a backend server at another address, {address}"
+                )
+            }
+            Self::OtherDomain(domain) => {
+                write!(
+                    formatter,
+                    "heartbeat comes from a backend server in another failure domain, {domain:?}"
+                )
+            }
         }
     }
 }
--- a/crates/lavenderseam_passthrough/src/agent/mod.rs
+++ b/crates/lavenderseam_passthrough/src/agent/mod.rs
@@ -57,10 +57,31 @@
     pub service: String,
     /// Failure domain of the target.
     pub domain: String,
+    /// Address at which the backend server receives packets.
+    pub backend_address: SocketAddrV4,
     /// Random identifier of this run of the agent, generated at its start.
     pub run_id: u64,
 }
 
+impl Identity {
+    /// Returns the reason for which a heartbeat can't come from the backend server beside this agent.
+    ///
+    /// Anyone who reaches the VM can send a heartbeat. One of another backend server, or of a writer that
+    /// isn't any, says nothing about this one.
+    fn check(&self, heartbeat: &Heartbeat) -> Result<(), Rejection> {
+        if heartbeat.service != self.service {
+            return Err(Rejection::OtherService(heartbeat.service.clone()));
+        }
+        if heartbeat.address != self.backend_address {
+            return Err(Rejection::OtherAddress(heartbeat.address));
+        }
+        if heartbeat.domain != self.domain {
+            return Err(Rejection::OtherDomain(heartbeat.domain.clone()));
+        }
+        Ok(())
+    }
+}
+
 /// Decision about a packet that a balancer forwarded.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Verdict {
@@ -384,9 +405,7 @@
         heartbeat: &Heartbeat,
         now: Instant,
     ) -> Result<HeartbeatEffect, Rejection> {
-        if heartbeat.service != self.identity.service {
-            return Err(Rejection::OtherService(heartbeat.service.clone()));
-        }
+        self.identity.check(heartbeat)?;
         let was_starting = self.backend.has_candidate();
         let outcome = self.backend.apply(heartbeat, now)?;
         match outcome {
--- a/crates/lavenderseam_passthrough/tests/agent.rs
+++ b/crates/lavenderseam_passthrough/tests/agent.rs
@@ -7,8 +7,8 @@
 use std::time::Duration;
 
 use fixture::{
-    BACKEND_ISN, BALANCER, SERVICE, agent, agent_without_heartbeat, at_ms, balancer_hello, header,
-    heartbeat, heartbeat_after_serving, is_delivered, next_announcement, open_with_request,
+    BACKEND, BACKEND_ISN, BALANCER, SERVICE, agent, agent_without_heartbeat, at_ms, balancer_hello,
+    header, heartbeat, heartbeat_after_serving, is_delivered, next_announcement, open_with_request,
     queueing_header, request, response, return_reason, start_backend, syn, syn_ack,
 };
 use googletest::prelude::*;
@@ -135,6 +135,7 @@
     let mut agent = Agent::new(Identity {
         service: SERVICE.to_owned(),
         domain: "a".to_owned(),
+        backend_address: BACKEND,
         run_id: 1,
     });
     let mut cold = heartbeat(1);
@@ -266,6 +267,7 @@
     let identity = Identity {
         service: SERVICE.to_owned(),
         domain: "a".to_owned(),
+        backend_address: BACKEND,
         run_id: 1,
     };
     let settings = Settings {
--- a/crates/lavenderseam_passthrough/tests/agent_backend.rs
+++ b/crates/lavenderseam_passthrough/tests/agent_backend.rs
@@ -13,7 +13,8 @@
 };
 use googletest::prelude::*;
 use lavenderseam_passthrough::agent::{
-    Action, Agent, HeartbeatEffect, OutboundVerdict, Rejection, SERVING_HEARTBEAT_SEQUENCE, Verdict,
+    Action, Agent, Heartbeat, HeartbeatEffect, OutboundVerdict, Rejection,
+    SERVING_HEARTBEAT_SEQUENCE, Verdict,
 };
 use lavenderseam_passthrough::message::{Reason, TargetState};
 
@@ -78,7 +79,7 @@
     let mut agent = agent();
     open_with_request(&mut agent, 1, at_ms(0));
     let mut next_run = heartbeat(1);
-    next_run.started_at_ms = Some(2_000);
+    next_run.started_at_ms = 2_000;
     let outcome = start_backend(&mut agent, &next_run, at_ms(900));
     expect_that!(
         outcome,
@@ -97,7 +98,7 @@
     let mut agent = agent();
     let mut earlier_run = heartbeat(9);
     earlier_run.id = "b-0".to_owned();
-    earlier_run.started_at_ms = Some(10);
+    earlier_run.started_at_ms = 10;
     // A late heartbeat isn't acknowledged, and the known run goes on.
     let effect = agent.on_heartbeat(&earlier_run, at_ms(1));
     expect_that!(effect, ok(eq(&HeartbeatEffect::Starting { is_new: true })));
@@ -126,6 +127,64 @@
     expect_that!(agent.target_state(), eq(TargetState::Ready));
 }
 
+/// Guards against heartbeats of another writer that replace the running backend server: each differs from
+/// those of the backend server in one value that the agent knows.
+#[gtest]
+fn heartbeats_of_another_writer_replace_no_run() {
+    let named = |number: u64| Heartbeat {
+        id: "b-other".to_owned(),
+        started_at_ms: 10,
+        draining: true,
+        ..heartbeat(7 + number)
+    };
+    let address = "10.9.0.9:8000".parse().unwrap();
+    let at_other_address = |number| Heartbeat {
+        address,
+        ..named(number)
+    };
+    let in_other_domain = |number| Heartbeat {
+        domain: "b".to_owned(),
+        ..named(number)
+    };
+    let of_other_service = |number| Heartbeat {
+        service: "maps".to_owned(),
+        ..named(number)
+    };
+    let before_the_first = |_| Heartbeat {
+        sequence: 0,
+        ..named(1)
+    };
+    let writers: [(&dyn Fn(u64) -> Heartbeat, Rejection); 4] = [
+        (&at_other_address, Rejection::OtherAddress(address)),
+        (&in_other_domain, Rejection::OtherDomain("b".to_owned())),
+        (
+            &of_other_service,
+            Rejection::OtherService("maps".to_owned()),
+        ),
+        (&before_the_first, Rejection::ImplausibleSequence(0)),
+    ];
+    for (heartbeat_of_writer, rejection) in writers {
+        let mut agents = [agent_without_heartbeat(), agent()];
+        for agent in &mut agents {
+            let state = agent.target_state();
+            for number in 1..=20 {
+                let heartbeat = heartbeat_of_writer(number);
+                let outcome = agent.on_heartbeat(&heartbeat, at_ms(10 + 50 * number));
+                expect_that!(outcome, err(eq(&rejection)));
+                expect_that!(agent.target_state(), eq(state));
+            }
+            // The backend server is heard as before.
+            hear_twice(
+                agent,
+                &heartbeat(SERVING_HEARTBEAT_SEQUENCE + 2),
+                at_ms(1_100),
+            )
+            .unwrap();
+            expect_that!(agent.target_state(), eq(TargetState::Ready));
+        }
+    }
+}
+
 /// Guards against a heartbeat of another writer whose number lets all further heartbeats look stale.
 #[gtest]
 fn an_implausible_sequence_number_is_rejected() {
@@ -323,7 +382,7 @@
     let mut late = heartbeat(1);
     late.id = "b-0".to_owned();
     // The clock was set back between the two runs.
-    late.started_at_ms = Some(9_000);
+    late.started_at_ms = 9_000;
     let is_delivered_after = |agent: &mut Agent| {
         let verdict = agent.on_forwarded_packet(&request(1, 901), header(), BALANCER, at_ms(110));
         is_delivered(&verdict)
@@ -358,7 +417,7 @@
     let mut agent = agent_without_heartbeat();
     let mut late = heartbeat(9);
     late.id = "b-0".to_owned();
-    late.started_at_ms = Some(10);
+    late.started_at_ms = 10;
     agent.on_heartbeat(&late, at_ms(0)).unwrap();
     agent.on_backend_packet(&response(1), None, at_ms(5));
     expect_that!(
@@ -390,7 +449,7 @@
 fn a_run_that_looks_older_than_its_predecessor_is_accepted() {
     let mut looks_older = heartbeat(57);
     looks_older.id = "b-2".to_owned();
-    looks_older.started_at_ms = Some(10);
+    looks_older.started_at_ms = 10;
     // The end of the predecessor was seen.
     let mut agent = agent();
     agent.on_connection_refused(at_ms(10));
--- a/crates/lavenderseam_passthrough/tests/conformance.rs
+++ b/crates/lavenderseam_passthrough/tests/conformance.rs
@@ -27,6 +27,7 @@
 const RANDOM_STEPS: usize = 40;
 const RANDOM_SEQUENCES: u64 = 20_000;
 const NOW: Instant = Instant(3_600_000_000);
+const BACKEND: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(10, 1, 0, 2), 8_000);
 const BALANCER: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(10, 1, 0, 1), 7_000);
 
 /// A packet in flight to an agent, and the agents that have denied its flow.
@@ -232,9 +233,11 @@
         backend.heartbeats += 1;
         let heartbeat = Heartbeat {
             id: format!("b-{index}"),
-            started_at_ms: Some(backend.started_at),
+            started_at_ms: backend.started_at,
             sequence: backend.heartbeats,
             service: SERVICE.to_owned(),
+            address: BACKEND,
+            domain: "a".to_owned(),
             draining: false,
             slots: 8,
             cold_remaining: Duration::ZERO,
@@ -383,6 +386,7 @@
     Agent::new(Identity {
         service: SERVICE.to_owned(),
         domain: "a".to_owned(),
+        backend_address: BACKEND,
         run_id: run,
     })
 }
--- a/crates/lavenderseam_passthrough/tests/heartbeats.rs
+++ b/crates/lavenderseam_passthrough/tests/heartbeats.rs
@@ -58,7 +58,7 @@
     fn heartbeat(&self) -> Heartbeat {
         Heartbeat {
             id: format!("b-{}", self.run),
-            started_at_ms: Some(self.started_at_ms),
+            started_at_ms: self.started_at_ms,
             ..heartbeat(self.sent)
         }
     }
--- a/crates/lavenderseam_passthrough/tests/simulation/backend.rs
+++ b/crates/lavenderseam_passthrough/tests/simulation/backend.rs
@@ -7,7 +7,7 @@
 use lavenderseam_passthrough::flow::Flow;
 use lavenderseam_passthrough::segment::{Flags, Segment};
 
-use super::{Event, SERVICE, Simulation};
+use super::{Event, SERVICE, Simulation, TargetNode};
 
 /// Requests that the backend server queues per slot.
 const QUEUE_PER_SLOT: usize = 4;
@@ -102,25 +102,31 @@
         self.flows.len()
     }
 
+    fn initial_sequence(&self, flow: Flow) -> u32 {
+        (flow.rendezvous_key() as u32).wrapping_mul(self.seed) ^ self.run as u32
+    }
+}
+
+impl TargetNode {
+    /// Returns the next heartbeat of the backend server, or `None` if it is stopped.
     pub(super) fn next_heartbeat(&mut self, now_us: u64) -> Option<Heartbeat> {
-        if self.run == 0 {
+        let backend = &mut self.backend;
+        if backend.run == 0 {
             return None;
         }
-        self.heartbeats += 1;
+        backend.heartbeats += 1;
         Some(Heartbeat {
-            id: format!("backend-{}-{}", self.seed, self.run),
-            started_at_ms: Some(self.started_at),
-            sequence: self.heartbeats,
-            service: self.service.clone(),
-            draining: self.draining,
-            slots: self.slots as u16,
-            cold_remaining: Duration::from_micros(self.warm_at_us.saturating_sub(now_us)),
+            id: format!("backend-{}-{}", backend.seed, backend.run),
+            started_at_ms: backend.started_at,
+            sequence: backend.heartbeats,
+            service: backend.service.clone(),
+            address: self.address,
+            domain: self.domain.clone(),
+            draining: backend.draining,
+            slots: backend.slots as u16,
+            cold_remaining: Duration::from_micros(backend.warm_at_us.saturating_sub(now_us)),
         })
     }
-
-    fn initial_sequence(&self, flow: Flow) -> u32 {
-        (flow.rendezvous_key() as u32).wrapping_mul(self.seed) ^ self.run as u32
-    }
 }
 
 impl Simulation {
--- a/crates/lavenderseam_passthrough/tests/simulation/mod.rs
+++ b/crates/lavenderseam_passthrough/tests/simulation/mod.rs
@@ -17,7 +17,7 @@
 
 use lavenderseam_core::catalog::Revision;
 use lavenderseam_core::time::Instant;
-use lavenderseam_passthrough::agent::{self, Agent, Heartbeat, HeartbeatEffect};
+use lavenderseam_passthrough::agent::{self, Agent, HeartbeatEffect};
 use lavenderseam_passthrough::balancer::{self, Balancer, Checkpoint};
 use lavenderseam_passthrough::desired::{
     DesiredState, OutOfServiceDomains, Repeatability, Route, ServiceLimits, WeightedService,
@@ -270,6 +270,7 @@
         let mut agent = Agent::new(agent::Identity {
             service: node.service.clone(),
             domain: node.domain.clone(),
+            backend_address: node.address,
             run_id: node.runs,
         });
         for seed in seeds {
@@ -536,7 +537,7 @@
             return;
         }
         let from = node.address;
-        let heartbeat = node.backend.next_heartbeat(self.now_us);
+        let heartbeat = node.next_heartbeat(self.now_us);
         let mut interval = UNACKNOWLEDGED_HEARTBEAT_US;
         if let (Some(heartbeat), Some(agent)) = (heartbeat, &mut node.agent) {
             // The agent may reject a heartbeat that is out of order, which some tests cause on
@@ -574,19 +575,6 @@
     }
 }
 
-/// Returns a heartbeat of a warm backend server.
-pub fn heartbeat(id: &str, born: u64, sequence: u64) -> Heartbeat {
-    Heartbeat {
-        id: id.to_owned(),
-        started_at_ms: Some(born),
-        sequence,
-        service: SERVICE.to_owned(),
-        draining: false,
-        slots: 2,
-        cold_remaining: Duration::ZERO,
-    }
-}
-
 pub fn process_address(kind: u8, index: usize) -> SocketAddrV4 {
     let [_, _, high, low] = (index as u32 + 1).to_be_bytes();
     SocketAddrV4::new(Ipv4Addr::new(10, kind, high, low), PROCESS_PORT)
