Keep the flows that are open when another run becomes known

Cause: when an agent learned of another run by its heartbeats, it reported all flows that it tracked as ended. The premise was that these are flows of the run before. A backend server that crashes and is back at once accepts flows before its first heartbeat, and its agent lets them through in the belief that the run before still runs. Heartbeats of another writer that pass for a new run would end the flows of the running one in the same way. Change: the agent goes on tracking the flows, counts no request of them as pending, and delivers their packets. The backend server bounces those that it doesn't hold; only then are they reported as ended. Such bounces don't count as failures. The admissions of the last second still count for a cold backend server. Why this works: only the backend server knows which flows it holds, and a bounce is its own statement. Price: a caller of a lost flow is reset after one more hop to the backend server, on the same machine; nobody waits for longer.

--- a/crates/lavenderseam_passthrough/src/agent/flows.rs
+++ b/crates/lavenderseam_passthrough/src/agent/flows.rs
@@ -50,6 +50,9 @@
     last_used: Instant,
     caller_fin: bool,
     backend_fin: bool,
+    /// `true` if another run of the backend server has become known since the flow was admitted, and no
+    /// packet of that run has shown that it holds the flow.
+    pub(crate) may_be_lost: bool,
 }
 
 /// Flows of one backend server.
@@ -81,6 +84,7 @@
             last_used: now,
             caller_fin: false,
             backend_fin: false,
+            may_be_lost: false,
         };
         self.table.insert(flow, entry);
     }
@@ -102,6 +106,7 @@
             last_used: now,
             caller_fin: false,
             backend_fin: false,
+            may_be_lost: false,
         };
         self.table.entry(segment.flow).or_insert(entry);
     }
@@ -144,6 +149,7 @@
         self.update_mean(now);
         let entry = self.table.get_mut(&segment.flow)?;
         entry.last_used = now;
+        entry.may_be_lost = false;
         if segment.flags.syn && matches!(entry.state, FlowState::SynReceived(_)) {
             entry.state = FlowState::SynReceived(Some(segment.sequence));
         }
@@ -196,6 +202,18 @@
         established.map(|(flow, _)| flow).collect()
     }
 
+    /// Handles another run of the backend server, which may hold some of the flows: it may have accepted
+    /// them before its first heartbeat. The requests of the others will never be answered, so none counts
+    /// as pending.
+    pub(crate) fn on_other_run(&mut self, now: Instant) {
+        self.update_mean(now);
+        self.pending = 0;
+        for entry in self.table.values_mut() {
+            entry.pending_since = None;
+            entry.may_be_lost = true;
+        }
+    }
+
     /// Removes flows whose timeout has elapsed, and stops counting requests that have been pending
     /// for too long; returns the number of established flows that were removed.
     pub(crate) fn expire(&mut self, settings: &Settings, now: Instant) -> usize {
--- a/crates/lavenderseam_passthrough/src/agent/mod.rs
+++ b/crates/lavenderseam_passthrough/src/agent/mod.rs
@@ -371,20 +371,22 @@
     /// balancer with, or `None` to drop it.
     fn on_bounce(&mut self, segment: &Segment, now: Instant) -> Option<Reason> {
         let flow = segment.flow;
-        let state = self.flows.get(flow).map(|entry| entry.state);
+        let entry = self.flows.get(flow).copied();
         if segment.is_syn() {
             self.flows.remove(flow, now);
             self.liveness.on_unexpected_bounce(now);
             return Some(Reason::Shed);
         }
-        match state {
+        match entry.map(|entry| entry.state) {
             // Both ends have closed the flow, so no target needs the packet.
             Some(FlowState::Closed) => None,
             // The backend server held the flow and no longer does.
             Some(FlowState::Established) => {
                 self.flows.remove(flow, now);
                 self.end_flow(flow, now);
-                self.liveness.on_unexpected_bounce(now);
+                if entry.is_some_and(|entry| !entry.may_be_lost) {
+                    self.liveness.on_unexpected_bounce(now);
+                }
                 Some(Reason::Ended)
             }
             Some(FlowState::SynReceived(_)) => {
@@ -425,17 +427,15 @@
                 replaces_running,
                 all_flows_seen,
             } => {
-                if replaces_running && all_flows_seen {
-                    self.end_all_flows(now);
-                } else if replaces_running {
-                    // The flows may be those of the new run, which tells by what it bounces.
-                    self.flows.clear(now);
-                }
                 if !self.registered && !was_starting {
                     self.unregistered_since = Some(now);
                 }
                 self.announce_to_all = true;
-                self.cold_start.clear();
+                if replaces_running {
+                    self.flows.on_other_run(now);
+                } else {
+                    self.cold_start.clear();
+                }
                 if !all_flows_seen {
                     self.cold_start.wait_for_window(now);
                 }
--- a/crates/lavenderseam_passthrough/tests/agent_backend.rs
+++ b/crates/lavenderseam_passthrough/tests/agent_backend.rs
@@ -88,9 +88,69 @@
             all_flows_seen: true,
         }))
     );
+    expect_that!(agent.target_load(at_ms(901)).busy_slots, eq(0));
+    // The new run shows by a bounce that it doesn't hold the flow.
     let verdict = agent.on_forwarded_packet(&request(1, 1), header(), BALANCER, at_ms(901));
+    let Verdict::Deliver { mark, .. } = verdict else {
+        panic!("not delivered: {verdict:?}");
+    };
+    let bounced = agent.on_backend_packet(&request(1, 1), Some(mark), at_ms(902));
+    let OutboundVerdict::Return { returned, .. } = bounced else {
+        panic!("not returned: {bounced:?}");
+    };
+    expect_that!(returned.reason, eq(Reason::Ended));
+    let verdict = agent.on_forwarded_packet(&request(1, 1), header(), BALANCER, at_ms(903));
     expect_that!(return_reason(&verdict), some(eq(Reason::Ended)));
-    expect_that!(agent.target_load(at_ms(901)).busy_slots, eq(0));
+    expect_that!(agent.target_load(at_ms(903)).busy_slots, eq(0));
+    // A flow that was never held here isn't one of the new run.
+    let verdict = agent.on_forwarded_packet(&request(2, 1), header(), BALANCER, at_ms(903));
+    expect_that!(return_reason(&verdict), some(eq(Reason::NotHeld)));
+}
+
+/// Guards against open flows that are reset because the backend server had crashed and was back before the
+/// agent noticed: the new run accepts flows before its first heartbeat.
+#[gtest]
+fn flows_opened_before_the_first_heartbeat_of_a_run_are_not_denied() {
+    let mut agent = agent();
+    open_with_request(&mut agent, 1, at_ms(100));
+    // The backend server is back as another run; these flows are its own.
+    open_with_request(&mut agent, 2, at_ms(300));
+    agent.on_backend_packet(&response(2), None, at_ms(310));
+    agent.on_forwarded_packet(&syn(3), header(), BALANCER, at_ms(320));
+    agent.on_backend_packet(&syn_ack(3), None, at_ms(320));
+    let mut next_run = heartbeat(1);
+    next_run.started_at_ms = 2_000;
+    start_backend(&mut agent, &next_run, at_ms(2_000)).unwrap();
+    for port in [2, 3] {
+        let verdict =
+            agent.on_forwarded_packet(&request(port, 901), header(), BALANCER, at_ms(2_001));
+        expect_that!(is_delivered(&verdict), eq(true), "{port}");
+        agent.on_backend_packet(&response(port), None, at_ms(2_002));
+    }
+}
+
+/// Guards against a new run that gets no flows because it bounces packets of the flows that the run before
+/// it has lost.
+#[gtest]
+fn bounces_of_flows_lost_with_the_earlier_run_are_no_failures() {
+    let mut agent = agent();
+    for port in 1..=4 {
+        open_with_request(&mut agent, port, at_ms(100));
+        agent.on_backend_packet(&response(port), None, at_ms(110));
+    }
+    let mut next_run = heartbeat(1);
+    next_run.started_at_ms = 2_000;
+    start_backend(&mut agent, &next_run, at_ms(2_000)).unwrap();
+    for port in 1..=4 {
+        let verdict =
+            agent.on_forwarded_packet(&request(port, 901), header(), BALANCER, at_ms(2_010));
+        let Verdict::Deliver { mark, .. } = verdict else {
+            panic!("not delivered: {verdict:?}");
+        };
+        agent.on_backend_packet(&request(port, 901), Some(mark), at_ms(2_011));
+    }
+    let verdict = agent.on_forwarded_packet(&syn(5), header(), BALANCER, at_ms(2_012));
+    expect_that!(is_delivered(&verdict), eq(true));
 }
 
 #[gtest]
