Split the agent's view of its backend server into modules

Change: agent/backend has a module for heartbeats, for a run, and for the state; nothing but the place of the code has changed. Result: 177 tests of the crate pass.

--- /dev/null
+++ b/crates/lavenderseam_passthrough/src/agent/backend/run.rs
@@ -0,0 +1,69 @@
+//! One run of a backend server, from its start to its termination.
+
+use std::time::Duration;
+
+use lavenderseam_core::time::Instant;
+
+use super::heartbeat::Heartbeat;
+
+/// One run of a backend server, from its start to its termination.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct BackendRun {
+    pub(super) id: String,
+    pub(super) started_at_ms: u64,
+    pub(super) sequence: u64,
+    pub(super) draining: bool,
+    /// Requests that the backend server processes concurrently.
+    pub(crate) slots: u16,
+    /// Time at which the backend server becomes warm.
+    warm_at: Instant,
+    /// `true` if the agent has seen every flow that this run may hold.
+    pub(super) all_flows_seen: bool,
+    /// Shortest idle time after which the agent has stopped tracking flows of this run.
+    pub(super) expired_after: Option<Duration>,
+    /// `true` if the port of the backend server was closed at the end of this run.
+    pub(super) port_closed: bool,
+    /// `true` if the backend server has announced that it terminates.
+    pub(super) departed: bool,
+}
+
+impl BackendRun {
+    pub(super) fn new(heartbeat: &Heartbeat, all_flows_seen: bool, now: Instant) -> Self {
+        Self {
+            id: heartbeat.id.clone(),
+            started_at_ms: heartbeat.started_at_ms,
+            sequence: heartbeat.sequence,
+            draining: heartbeat.draining,
+            slots: heartbeat.slots.max(1),
+            warm_at: now + heartbeat.cold_remaining,
+            all_flows_seen,
+            expired_after: None,
+            port_closed: false,
+            departed: false,
+        }
+    }
+
+    /// Returns `true` if a heartbeat belongs to this run.
+    pub(super) fn is_run_of(&self, heartbeat: &Heartbeat) -> bool {
+        heartbeat.belongs_to(&self.id, self.started_at_ms)
+    }
+
+    pub(super) fn refresh(&mut self, heartbeat: &Heartbeat, now: Instant) {
+        self.sequence = heartbeat.sequence;
+        self.draining = heartbeat.draining;
+        self.slots = heartbeat.slots.max(1);
+        self.warm_at = now + heartbeat.cold_remaining;
+        self.port_closed = false;
+        self.departed = false;
+    }
+
+    /// Returns `true` if the backend server is draining.
+    pub(crate) const fn is_draining(&self) -> bool {
+        self.draining
+    }
+
+    /// Returns `true` if the backend server is cold.
+    pub(crate) fn is_cold(&self, now: Instant) -> bool {
+        now < self.warm_at
+    }
+}
