Replace a running backend server only once it is silent

Cause: who sent two heartbeats in a row was taken to be the run beside the agent, and a run that was replaced once was rejected from then on. A single late heartbeat closed a backend server for about an interval. Change: a candidate replaces a run that is heard only once that run is silent for one and a half intervals (heartbeatMs), or after 16 heartbeats in a row; after one more than the known run has sent, if that was heard for less than half an interval. No run is rejected because it was replaced. Heartbeats of several writers are kept apart by identity and number, so that others don't interrupt a row. A candidate that can't be starting holds no flows back beside a running one. Why this works: the running backend server goes on sending heartbeats, and the others end. Whoever is taken for running by mistake is replaced. Price: a run that crashes unnoticed and is back within less than one and a half intervals waits for the rest of them. An agent that restarts and first hears a late early heartbeat lets flows through two heartbeats later.

--- a/crates/lavenderseam_node/src/agent/driver.rs
+++ b/crates/lavenderseam_node/src/agent/driver.rs
@@ -75,6 +75,9 @@
             self.process.record_malformed("settings", error);
         }
         self.add_seeds(&settings.seeds);
+        if let Some(interval) = settings.heartbeat_interval {
+            self.agent.borrow_mut().set_heartbeat_interval(interval);
+        }
         if let Some(max_flow_age) = settings.max_flow_age {
             let stops_denying = self.agent.borrow_mut().set_max_flow_age(max_flow_age);
             if stops_denying {
@@ -223,7 +226,8 @@
             reason,
         });
         self.announce();
-        if matches!(outcome, Ok(HeartbeatEffect::Starting { .. })) {
+        let is_starting = self.agent.borrow().is_backend_starting();
+        if is_starting || matches!(outcome, Ok(HeartbeatEffect::Starting { .. })) {
             HeartbeatReply::TooEarly
         } else {
             HeartbeatReply::Acknowledged
--- a/crates/lavenderseam_node/src/process.rs
+++ b/crates/lavenderseam_node/src/process.rs
@@ -28,6 +28,8 @@
     pub seeds: Vec<SocketAddrV4>,
     /// Maximum age of a flow; `None` if there is none.
     pub max_flow_age: Option<Duration>,
+    /// Time between two heartbeats of a backend server; `None` if there is none.
+    pub heartbeat_interval: Option<Duration>,
     /// Errors of the settings that are ignored.
     pub errors: Vec<String>,
 }
--- a/crates/lavenderseam_passthrough/src/agent/backend/heartbeat.rs
+++ b/crates/lavenderseam_passthrough/src/agent/backend/heartbeat.rs
@@ -48,7 +48,8 @@
     StateChanged,
     /// The known run continues, although it was taken to have terminated.
     Resumed,
-    /// Another run seems to have started, and no flows are let through until that is certain.
+    /// Another run may have started, or is heard beside the known one. If it may not have reached its
+    /// serving heartbeat, no flows are let through until that is certain.
     Starting {
         /// `true` if this is the first heartbeat of the run that the agent has received.
         is_new: bool,
@@ -67,8 +68,6 @@
 pub enum Rejection {
     /// A later heartbeat of the same run has arrived before; holds the number of the last one.
     OutOfOrder(u64),
-    /// The heartbeat belongs to the run that the known one has replaced.
-    Replaced,
     /// The sender belongs to another service; holds the name of that service.
     OtherService(String),
     /// The sender receives packets at another address than the backend server; holds that address.
@@ -97,7 +96,6 @@
     pub const fn name(&self) -> &'static str {
         match self {
             Self::OutOfOrder(_) => "out of order",
-            Self::Replaced => "replaced",
             Self::OtherService(_) => "other service",
             Self::OtherAddress(_) => "other address",
             Self::OtherDomain(_) => "other domain",
@@ -115,9 +113,6 @@
                     "heartbeat {last} of the same run has arrived before"
                 )
             }
-            Self::Replaced => {
-                formatter.write_str("another run has replaced the one that sent the heartbeat")
-            }
             Self::ImplausibleSequence(sequence) => {
                 write!(
                     formatter,
--- a/crates/lavenderseam_passthrough/src/agent/backend/mod.rs
+++ b/crates/lavenderseam_passthrough/src/agent/backend/mod.rs
@@ -7,10 +7,13 @@
 //! knows that no agent before it has let flows through; the same holds if the port of the backend server
 //! was closed before.
 //!
-//! A single heartbeat may be a late one of a run that has ended. So a run is only a candidate until two
-//! heartbeats have arrived in a row, and no flow is let through meanwhile. The time of day doesn't matter,
-//! because clocks jump. `model/heartbeats.pml` shows that each of these rules is needed.
+//! A heartbeat may be a late one of a run that has ended, or come from another writer that passes for the
+//! backend server. So a run is only a candidate until two of its heartbeats have arrived in a row, and it
+//! replaces a running one only once that one is silent. A run that was replaced comes back in the same way,
+//! because the heartbeats of the other one may have been those that were wrong. The time of day doesn't
+//! matter, because clocks jump. `model/heartbeats.pml` shows that each of these rules is needed.
 
+mod candidates;
 mod heartbeat;
 mod run;
 
@@ -18,19 +21,23 @@
 
 use lavenderseam_core::time::Instant;
 
+use super::Settings;
 use crate::message::TargetState;
+use candidates::{Candidates, Series};
 use heartbeat::{FIRST_HEARTBEAT_SEQUENCE, MAX_HEARTBEAT_SEQUENCE};
 pub use heartbeat::{Heartbeat, HeartbeatEffect, Rejection, SERVING_HEARTBEAT_SEQUENCE};
 pub(crate) use run::BackendRun;
 
-/// State of the backend server beside the agent, and the run that the current one has replaced.
+/// Heartbeats in a row after which a run replaces one that isn't silent: one of the two writers isn't the
+/// backend server, and it isn't known which. Late heartbeats are fewer.
+const CONTESTING_HEARTBEATS: u64 = 16;
+
+/// State of the backend server beside the agent.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Backend {
     state: BackendState,
-    /// Another run, of which a heartbeat has arrived.
-    candidate: Option<Candidate>,
-    /// Identifier and start of the last run that another one has replaced.
-    replaced: Option<(String, u64)>,
+    /// Heartbeats of other runs than the known one.
+    candidates: Candidates,
 }
 
 /// State of the backend server beside the agent.
@@ -48,24 +55,12 @@
     Terminated(BackendRun),
 }
 
-/// A run of the backend server that isn't known to be running yet.
-#[derive(Clone, Debug, PartialEq, Eq)]
-struct Candidate {
-    id: String,
-    started_at_ms: u64,
-    /// Sequence number of the first heartbeat from which on the agent has received all.
-    first_sequence: u64,
-    /// Sequence number of the last one.
-    sequence: u64,
-    /// `true` if a heartbeat of the known run has arrived since.
-    is_contradicted: bool,
-}
-
 impl Backend {
     /// Processes a heartbeat.
     pub(crate) fn apply(
         &mut self,
         heartbeat: &Heartbeat,
+        settings: &Settings,
         now: Instant,
     ) -> Result<HeartbeatEffect, Rejection> {
         if !(FIRST_HEARTBEAT_SEQUENCE..=MAX_HEARTBEAT_SEQUENCE).contains(&heartbeat.sequence) {
@@ -81,25 +76,16 @@
             run.refresh(heartbeat, now);
             return Ok(self.continue_run(state_changed));
         }
-        if self.is_outdated(heartbeat) {
-            return Err(Rejection::Replaced);
+        if self.candidates.contains(heartbeat) {
+            return Err(Rejection::OutOfOrder(heartbeat.sequence));
         }
-        let candidate = self.candidate.take();
-        let known = candidate.filter(|candidate| candidate.is_run_of(heartbeat));
-        if let Some(known) = &known
-            && heartbeat.sequence <= known.sequence
-        {
-            let last = known.sequence;
-            self.candidate = known.clone().into();
-            return Err(Rejection::OutOfOrder(last));
-        }
-        let is_new = known.is_none();
-        let previous = known.filter(|known| heartbeat.sequence == known.sequence + 1);
-        let first_sequence = previous.map_or(heartbeat.sequence, |known| known.first_sequence);
-        if first_sequence == heartbeat.sequence || !heartbeat.may_serve() {
-            self.candidate = Some(Candidate::new(heartbeat, first_sequence));
+        let is_new = !self.candidates.knows_run_of(heartbeat);
+        let series = self.candidates.insert(heartbeat);
+        let is_known = series.len() > 1 && heartbeat.may_serve();
+        if !is_known || !self.may_be_replaced(&series, settings, now) {
             return Ok(HeartbeatEffect::Starting { is_new });
         }
+        let first_sequence = series.first_sequence;
         let all_flows_seen = match &self.state {
             BackendState::Unknown => first_sequence < SERVING_HEARTBEAT_SEQUENCE,
             BackendState::Absent => true,
@@ -109,20 +95,36 @@
                 first_sequence == FIRST_HEARTBEAT_SEQUENCE || self.has_closed_port()
             }
         };
-        Ok(self.start_run(heartbeat, all_flows_seen, now))
+        // Another run may still be starting.
+        self.candidates.remove_run_of(heartbeat);
+        Ok(self.start_run(heartbeat, series.len(), all_flows_seen, now))
+    }
+
+    /// Returns `true` if the run of a series of heartbeats may take the place of the known one.
+    fn may_be_replaced(&self, series: &Series, settings: &Settings, now: Instant) -> bool {
+        match &self.state {
+            BackendState::Running(run) => {
+                let contesting = if run.is_lasting(settings) {
+                    CONTESTING_HEARTBEATS
+                } else {
+                    CONTESTING_HEARTBEATS.min(run.heartbeats + 1)
+                };
+                run.is_silent(settings, now) || series.len() >= contesting
+            }
+            BackendState::Unknown | BackendState::Absent | BackendState::Terminated(_) => true,
+        }
     }
 
     /// Handles a further heartbeat of the known run.
     ///
-    /// While another run is a candidate, one of the two has ended, and a late heartbeat of it may be
-    /// the last. So a single heartbeat doesn't end the candidate.
+    /// While another run may be starting, one of the two has ended, and a late heartbeat of it may be
+    /// the last. So a single heartbeat doesn't end the start.
     fn continue_run(&mut self, state_changed: bool) -> HeartbeatEffect {
-        if let Some(candidate) = &mut self.candidate
-            && !std::mem::replace(&mut candidate.is_contradicted, true)
-        {
+        let had_candidate = self.has_candidate();
+        self.candidates.contradict();
+        if self.has_candidate() {
             return HeartbeatEffect::Starting { is_new: false };
         }
-        let had_candidate = self.candidate.take().is_some();
         if let BackendState::Terminated(run) = &mut self.state {
             // The evidence of its end was wrong, so that it still holds its flows.
             run.all_flows_seen = false;
@@ -135,26 +137,17 @@
         }
     }
 
-    /// Returns `true` if a heartbeat belongs to a run that the known one has replaced.
-    fn is_outdated(&self, heartbeat: &Heartbeat) -> bool {
-        self.replaced
-            .as_ref()
-            .is_some_and(|(id, started_at_ms)| heartbeat.belongs_to(id, *started_at_ms))
-    }
-
     /// Starts the run of a heartbeat.
     fn start_run(
         &mut self,
         heartbeat: &Heartbeat,
+        heartbeats: u64,
         all_flows_seen: bool,
         now: Instant,
     ) -> HeartbeatEffect {
-        let run = BackendRun::new(heartbeat, all_flows_seen, now);
+        let run = BackendRun::new(heartbeat, heartbeats, all_flows_seen, now);
         let previous = std::mem::replace(&mut self.state, BackendState::Running(run));
         let replaces_running = matches!(previous, BackendState::Running(_));
-        if let BackendState::Running(run) | BackendState::Terminated(run) = previous {
-            self.replaced = Some((run.id, run.started_at_ms));
-        }
         HeartbeatEffect::NewRun {
             replaces_running,
             all_flows_seen,
@@ -172,13 +165,14 @@
         match &mut self.state {
             BackendState::Unknown => {
                 self.state = BackendState::Absent;
-                self.candidate = None;
+                self.candidates.clear();
                 return true;
             }
             BackendState::Running(run) | BackendState::Terminated(run) => run.port_closed = true,
             BackendState::Absent => {}
         }
-        let had_candidate = self.candidate.take().is_some();
+        let had_candidate = self.has_candidate();
+        self.candidates.clear();
         self.mark_terminated() || had_candidate
     }
 
@@ -194,7 +188,7 @@
     /// Marks the run of the backend server with this identifier as terminated; returns `true` if it
     /// was running.
     pub(crate) fn mark_departed(&mut self, id: &str) -> bool {
-        self.candidate.take_if(|candidate| candidate.id == id);
+        self.candidates.remove(id);
         let is_running = matches!(&self.state, BackendState::Running(run) if run.id == id);
         let departed = is_running && self.mark_terminated();
         if let BackendState::Terminated(run) = &mut self.state {
@@ -249,8 +243,16 @@
     }
 
     /// Returns `true` if another run seems to have started, so that no flows are let through.
-    pub(crate) const fn has_candidate(&self) -> bool {
-        self.candidate.is_some()
+    ///
+    /// Beside a running one, only a run that may not have reached its serving heartbeat counts: flows that
+    /// are let through to a later one mislead no other agent.
+    pub(crate) fn has_candidate(&self) -> bool {
+        match &self.state {
+            BackendState::Running(_) => self.candidates.may_be_starting(),
+            BackendState::Unknown | BackendState::Absent | BackendState::Terminated(_) => {
+                self.candidates.may_run()
+            }
+        }
     }
 
     /// Returns the state of the target as announced to balancers.
@@ -266,20 +268,3 @@
         }
     }
 }
-
-impl Candidate {
-    fn new(heartbeat: &Heartbeat, first_sequence: u64) -> Self {
-        Self {
-            id: heartbeat.id.clone(),
-            started_at_ms: heartbeat.started_at_ms,
-            first_sequence,
-            sequence: heartbeat.sequence,
-            is_contradicted: false,
-        }
-    }
-
-    /// Returns `true` if a heartbeat belongs to this run.
-    fn is_run_of(&self, heartbeat: &Heartbeat) -> bool {
-        heartbeat.belongs_to(&self.id, self.started_at_ms)
-    }
-}
--- a/crates/lavenderseam_passthrough/src/agent/backend/run.rs
+++ b/crates/lavenderseam_passthrough/src/agent/backend/run.rs
@@ -4,6 +4,7 @@
 
 use lavenderseam_core::time::Instant;
 
+use super::super::Settings;
 use super::heartbeat::Heartbeat;
 
 /// One run of a backend server, from its start to its termination.
@@ -15,6 +16,12 @@
     pub(super) draining: bool,
     /// Requests that the backend server processes concurrently.
     pub(crate) slots: u16,
+    /// Heartbeats that have arrived in order.
+    pub(super) heartbeats: u64,
+    /// Time at which the run became known.
+    known_since: Instant,
+    /// Time of the last heartbeat.
+    heard_at: Instant,
     /// Time at which the backend server becomes warm.
     warm_at: Instant,
     /// `true` if the agent has seen every flow that this run may hold.
@@ -28,13 +35,21 @@
 }
 
 impl BackendRun {
-    pub(super) fn new(heartbeat: &Heartbeat, all_flows_seen: bool, now: Instant) -> Self {
+    pub(super) fn new(
+        heartbeat: &Heartbeat,
+        heartbeats: u64,
+        all_flows_seen: bool,
+        now: Instant,
+    ) -> Self {
         Self {
             id: heartbeat.id.clone(),
             started_at_ms: heartbeat.started_at_ms,
             sequence: heartbeat.sequence,
             draining: heartbeat.draining,
             slots: heartbeat.slots.max(1),
+            heartbeats,
+            known_since: now,
+            heard_at: now,
             warm_at: now + heartbeat.cold_remaining,
             all_flows_seen,
             expired_after: None,
@@ -52,11 +67,26 @@
         self.sequence = heartbeat.sequence;
         self.draining = heartbeat.draining;
         self.slots = heartbeat.slots.max(1);
+        self.heartbeats += 1;
+        self.heard_at = now;
         self.warm_at = now + heartbeat.cold_remaining;
         self.port_closed = false;
         self.departed = false;
     }
 
+    /// Returns `true` if a heartbeat of the run is overdue: by half an interval, because intervals vary
+    /// and a call takes its time.
+    pub(super) fn is_silent(&self, settings: &Settings, now: Instant) -> bool {
+        let interval = settings.heartbeat_interval;
+        now.since(self.heard_at) >= interval.saturating_add(interval / 2)
+    }
+
+    /// Returns `true` if the run was heard for longer than it takes late heartbeats to arrive in a row, by one
+    /// that was acknowledged and the next one.
+    pub(super) fn is_lasting(&self, settings: &Settings) -> bool {
+        self.heard_at.since(self.known_since) >= settings.heartbeat_interval / 2
+    }
+
     /// Returns `true` if the backend server is draining.
     pub(crate) const fn is_draining(&self) -> bool {
         self.draining
--- a/crates/lavenderseam_passthrough/src/agent/mod.rs
+++ b/crates/lavenderseam_passthrough/src/agent/mod.rs
@@ -224,6 +224,11 @@
         }
     }
 
+    /// Sets the time between two heartbeats of the backend server.
+    pub const fn set_heartbeat_interval(&mut self, interval: Duration) {
+        self.settings.heartbeat_interval = interval;
+    }
+
     /// Records whether the agent is registered, and returns whether it was before.
     pub const fn replace_registered(&mut self, registered: bool) -> bool {
         std::mem::replace(&mut self.registered, registered)
@@ -243,7 +248,7 @@
     /// An agent that has heard from no backend server leaves its registration as it is: it may have
     /// restarted beside a running one.
     #[must_use]
-    pub const fn needs_registration(&self) -> bool {
+    pub fn needs_registration(&self) -> bool {
         let has_run = self.backend.current_run().is_some() || self.backend.has_candidate();
         !self.registered && has_run
     }
@@ -409,13 +414,14 @@
     ) -> Result<HeartbeatEffect, Rejection> {
         self.identity.check(heartbeat)?;
         let was_starting = self.backend.has_candidate();
-        let outcome = self.backend.apply(heartbeat, now)?;
+        let outcome = self.backend.apply(heartbeat, &self.settings, now)?;
         match outcome {
             HeartbeatEffect::Unchanged => {}
             HeartbeatEffect::StateChanged => self.announce_to_all = true,
-            HeartbeatEffect::Starting { is_new } => {
-                self.announce_to_all |= is_new;
-                if is_new && !self.registered {
+            HeartbeatEffect::Starting { .. } => {
+                let is_starting = !was_starting && self.backend.has_candidate();
+                self.announce_to_all |= is_starting;
+                if is_starting && !self.registered {
                     self.unregistered_since = Some(now);
                 }
             }
@@ -563,6 +569,12 @@
         self.backend.has_seen_all_flows()
     }
 
+    /// Returns `true` if a run of the backend server may be starting, so that it gets no flows yet.
+    #[must_use]
+    pub fn is_backend_starting(&self) -> bool {
+        self.backend.has_candidate()
+    }
+
     /// Returns the load of the target.
     pub fn target_load(&mut self, now: Instant) -> Load {
         let run = self.backend.current_run();
--- a/crates/lavenderseam_passthrough/src/agent/settings.rs
+++ b/crates/lavenderseam_passthrough/src/agent/settings.rs
@@ -7,6 +7,8 @@
 pub struct Settings {
     /// Time between announcements to a responsive balancer.
     pub announce_interval: Duration,
+    /// Time between two heartbeats of a backend server that are acknowledged.
+    pub heartbeat_interval: Duration,
     /// Time for which the agent waits for its registration before it admits flows without it.
     pub registration_timeout: Duration,
     /// Time between announcements to a balancer that has just become known and hasn't replied yet;
@@ -63,6 +65,7 @@
     fn default() -> Self {
         Self {
             announce_interval: Duration::from_millis(400),
+            heartbeat_interval: Duration::from_secs(1),
             registration_timeout: Duration::ZERO,
             introduction_interval: Duration::from_millis(100),
             introduction_period: Duration::from_secs(2),
