Tell a far higher heartbeat number from that of the running backend server

Cause: a heartbeat with the identity of the known run and a higher number was taken to be its latest one. Change: a number counts if it is the next one, or up to 17 higher after three quarters of an interval, in which heartbeats may have been missed. A higher one counts as a heartbeat of another run would: once the known run is silent, or in a long row. Lower ones count after four in a row, so that the backend server goes on if a false number was taken. Why this works: the backend server numbers its heartbeats in a row and goes on with its own.

--- a/crates/lavenderseam_passthrough/src/agent/backend/candidates.rs
+++ b/crates/lavenderseam_passthrough/src/agent/backend/candidates.rs
@@ -23,7 +23,7 @@
     contradictions: u8,
 }
 
-/// Series of heartbeats of other runs than the known one.
+/// Series of heartbeats that don't follow the last one of the known run.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Candidates(Vec<Series>);
 
--- a/crates/lavenderseam_passthrough/src/agent/backend/heartbeat.rs
+++ b/crates/lavenderseam_passthrough/src/agent/backend/heartbeat.rs
@@ -66,7 +66,7 @@
 /// Reason for which a heartbeat is rejected.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Rejection {
-    /// A later heartbeat of the same run has arrived before; holds the number of the last one.
+    /// The number doesn't follow that of the last heartbeat of the same run; holds the last number.
     OutOfOrder(u64),
     /// The sender belongs to another service; holds the name of that service.
     OtherService(String),
--- a/crates/lavenderseam_passthrough/src/agent/backend/mod.rs
+++ b/crates/lavenderseam_passthrough/src/agent/backend/mod.rs
@@ -32,12 +32,18 @@
 /// backend server, and it isn't known which. Late heartbeats are fewer.
 const CONTESTING_HEARTBEATS: u64 = 16;
 
+/// Heartbeats in a row by which the known run goes on with numbers below its last one, because that one came
+/// from another writer. Late heartbeats are fewer.
+const RENUMBERING_HEARTBEATS: u64 = 4;
+
 /// State of the backend server beside the agent.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Backend {
     state: BackendState,
     /// Heartbeats of other runs than the known one.
     candidates: Candidates,
+    /// Heartbeats of the known run that don't follow its last one.
+    out_of_order: Candidates,
 }
 
 /// State of the backend server beside the agent.
@@ -66,15 +72,15 @@
         if !(FIRST_HEARTBEAT_SEQUENCE..=MAX_HEARTBEAT_SEQUENCE).contains(&heartbeat.sequence) {
             return Err(Rejection::ImplausibleSequence(heartbeat.sequence));
         }
-        if let BackendState::Running(run) | BackendState::Terminated(run) = &mut self.state
+        if let BackendState::Running(run) | BackendState::Terminated(run) = &self.state
             && run.is_run_of(heartbeat)
         {
-            if heartbeat.sequence <= run.sequence {
-                return Err(Rejection::OutOfOrder(run.sequence));
+            let last = run.sequence;
+            let follows = run.is_followed_by(heartbeat, settings, now);
+            if follows || self.renumbers(heartbeat, last, settings, now) {
+                return Ok(self.continue_run(heartbeat, now));
             }
-            let state_changed = run.draining != heartbeat.draining;
-            run.refresh(heartbeat, now);
-            return Ok(self.continue_run(state_changed));
+            return Err(Rejection::OutOfOrder(last));
         }
         if self.candidates.contains(heartbeat) {
             return Err(Rejection::OutOfOrder(heartbeat.sequence));
@@ -95,11 +101,30 @@
                 first_sequence == FIRST_HEARTBEAT_SEQUENCE || self.has_closed_port()
             }
         };
+        self.out_of_order.clear();
         // Another run may still be starting.
         self.candidates.remove_run_of(heartbeat);
         Ok(self.start_run(heartbeat, series.len(), all_flows_seen, now))
     }
 
+    /// Returns `true` if the known run goes on with a heartbeat that doesn't follow its last one.
+    ///
+    /// Either that one or those that arrive now come from another writer, or are late.
+    fn renumbers(
+        &mut self,
+        heartbeat: &Heartbeat,
+        last: u64,
+        settings: &Settings,
+        now: Instant,
+    ) -> bool {
+        let series = self.out_of_order.insert(heartbeat);
+        if heartbeat.sequence > last {
+            series.len() > 1 && self.may_be_replaced(&series, settings, now)
+        } else {
+            series.len() >= RENUMBERING_HEARTBEATS
+        }
+    }
+
     /// Returns `true` if the run of a series of heartbeats may take the place of the known one.
     fn may_be_replaced(&self, series: &Series, settings: &Settings, now: Instant) -> bool {
         match &self.state {
@@ -119,7 +144,12 @@
     ///
     /// While another run may be starting, one of the two has ended, and a late heartbeat of it may be
     /// the last. So a single heartbeat doesn't end the start.
-    fn continue_run(&mut self, state_changed: bool) -> HeartbeatEffect {
+    fn continue_run(&mut self, heartbeat: &Heartbeat, now: Instant) -> HeartbeatEffect {
+        let mut state_changed = false;
+        if let BackendState::Running(run) | BackendState::Terminated(run) = &mut self.state {
+            state_changed = run.draining != heartbeat.draining;
+            run.refresh(heartbeat, now);
+        }
         let had_candidate = self.has_candidate();
         self.candidates.contradict();
         if self.has_candidate() {
--- a/crates/lavenderseam_passthrough/src/agent/backend/run.rs
+++ b/crates/lavenderseam_passthrough/src/agent/backend/run.rs
@@ -7,6 +7,10 @@
 use super::super::Settings;
 use super::heartbeat::Heartbeat;
 
+/// Maximum number of heartbeats in a row that an agent misses: one a second while it is stopped. One with a
+/// higher number may come from another writer, and would let those that follow look late.
+const MAX_MISSED_HEARTBEATS: u64 = 16;
+
 /// One run of a backend server, from its start to its termination.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct BackendRun {
@@ -63,6 +67,23 @@
         heartbeat.belongs_to(&self.id, self.started_at_ms)
     }
 
+    /// Returns `true` if a heartbeat may follow the last one.
+    ///
+    /// A heartbeat that the agent has missed was sent about an interval after the last one.
+    pub(super) fn is_followed_by(
+        &self,
+        heartbeat: &Heartbeat,
+        settings: &Settings,
+        now: Instant,
+    ) -> bool {
+        let Some(missed) = heartbeat.sequence.checked_sub(self.sequence + 1) else {
+            return false;
+        };
+        let interval = settings.heartbeat_interval;
+        let may_have_missed = now.since(self.heard_at) >= interval - interval / 4;
+        missed == 0 || (missed <= MAX_MISSED_HEARTBEATS && may_have_missed)
+    }
+
     pub(super) fn refresh(&mut self, heartbeat: &Heartbeat, now: Instant) {
         self.sequence = heartbeat.sequence;
         self.draining = heartbeat.draining;
