End the flows of a backend server with its port, not with its notice

Cause: a deregistration ended whatever run had its id, and all its flows at once, although a backend server may start again under the same id and late calls may arrive. A run that has announced its drain gets no new flows from the notice on, as before. One that hasn't goes on. In both cases the port is probed, and the flows end once it is closed, or as the backend server bounces them. A registration is removed once such a port is closed, too. Why this works: a backend server that runs has an open port and bounces only packets of flows that it doesn't hold. Price: the first packet of a flow after the exit is lost if no probe came before, so that its caller is reset after one retransmission (200 ms).

--- a/crates/lavenderseam_node/src/agent/driver.rs
+++ b/crates/lavenderseam_node/src/agent/driver.rs
@@ -9,8 +9,8 @@
 use ::http::StatusCode;
 use lavenderseam_core::time::Instant;
 use lavenderseam_passthrough::agent::{
-    Action, Agent, Heartbeat, HeartbeatEffect, OutboundVerdict, Rejection, RequestOutcome, Verdict,
-    Verification,
+    Action, Agent, Departure, Deregistration, Heartbeat, HeartbeatEffect, OutboundVerdict,
+    Rejection, RequestOutcome, Verdict, Verification,
 };
 use lavenderseam_passthrough::message::{ForwardHeader, Message, ReturnHeader};
 use lavenderseam_passthrough::segment::Segment;
@@ -249,13 +249,15 @@
         });
     }
 
-    /// Handles the deregistration of the backend server with this instance id.
-    pub(crate) fn handle_deregistration(&self, id: &str) {
-        let now = self.process.clock.now();
-        if self.agent.borrow_mut().on_backend_departed(id, now) {
-            self.registration_changed.notify_one();
-            self.report_backend_exit(id, "departed");
-        }
+    /// Handles the notice of a backend server that it terminates.
+    pub(crate) fn handle_deregistration(&self, deregistration: &Deregistration) {
+        let departure = self.agent.borrow_mut().on_deregistration(deregistration);
+        let reason = match departure {
+            Departure::Accepted => "departed",
+            Departure::Unexpected => "departure announced without a drain",
+            Departure::OtherRun => "departure of another run ignored",
+        };
+        self.report_backend_exit(&deregistration.id, reason);
     }
 
     /// Records the metrics of a request that was answered, or whose flow ended without an answer.
@@ -284,8 +286,9 @@
         }
     }
 
-    /// Logs that the backend server has exited, and announces it to the balancers.
+    /// Logs that the backend server has exited or announces it, and tells the balancers what has changed.
     fn report_backend_exit(&self, id: &str, reason: &'static str) {
+        self.registration_changed.notify_one();
         self.log_backend_state(id, reason);
         self.announce();
     }
--- a/crates/lavenderseam_node/src/agent/mod.rs
+++ b/crates/lavenderseam_node/src/agent/mod.rs
@@ -10,7 +10,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use lavenderseam_passthrough::agent::{Agent, Heartbeat, Identity, Settings as Limits};
+use lavenderseam_passthrough::agent::{
+    Agent, Deregistration, Heartbeat, Identity, Settings as Limits,
+};
 use rand::TryRng;
 use rand::rngs::SysRng;
 
@@ -195,9 +197,9 @@
         self.driver.handle_heartbeat(heartbeat)
     }
 
-    /// Handles the deregistration of the backend server with this instance id.
-    pub fn handle_deregistration(&self, id: &str) {
-        self.driver.handle_deregistration(id);
+    /// Handles the notice of a backend server that it terminates.
+    pub fn handle_deregistration(&self, deregistration: &Deregistration) {
+        self.driver.handle_deregistration(deregistration);
     }
 
     /// Counts and logs a call that can't be decoded.
--- a/crates/lavenderseam_passthrough/src/agent/backend/candidates.rs
+++ b/crates/lavenderseam_passthrough/src/agent/backend/candidates.rs
@@ -4,7 +4,7 @@
 //! their numbers: a series is a row of them without a gap. Several series are kept, so that heartbeats of
 //! another writer between those of the backend server don't interrupt its own.
 
-use super::heartbeat::{Heartbeat, SERVING_HEARTBEAT_SEQUENCE};
+use super::heartbeat::{Deregistration, Heartbeat, SERVING_HEARTBEAT_SEQUENCE};
 
 /// Maximum number of series. Beyond it, the one that has waited longest for its next heartbeat is removed.
 const MAX_SERIES: usize = 8;
@@ -64,9 +64,11 @@
         }
     }
 
-    /// Removes the series of the backend server with this identifier.
-    pub(super) fn remove(&mut self, id: &str) {
-        self.0.retain(|series| series.id != id);
+    /// Removes the series of a run that terminates.
+    pub(super) fn remove(&mut self, deregistration: &Deregistration) {
+        let terminates =
+            |series: &Series| deregistration.belongs_to(&series.id, series.started_at_ms);
+        self.0.retain(|series| !terminates(series));
     }
 
     /// Removes the series of the run that a heartbeat belongs to.
--- a/crates/lavenderseam_passthrough/src/agent/backend/heartbeat.rs
+++ b/crates/lavenderseam_passthrough/src/agent/backend/heartbeat.rs
@@ -39,6 +39,27 @@
     pub cold_remaining: Duration,
 }
 
+/// Notice of a backend server that it terminates.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Deregistration {
+    /// Identifier of the backend server.
+    pub id: String,
+    /// Start time of the backend server in milliseconds since the Unix epoch; `None` if it isn't
+    /// reported.
+    pub started_at_ms: Option<u64>,
+}
+
+/// Effect of a deregistration.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Departure {
+    /// The known run terminates.
+    Accepted,
+    /// The known run hasn't announced a drain, so the notice may come from another writer.
+    Unexpected,
+    /// The notice belongs to another run than the known one, or none is known.
+    OtherRun,
+}
+
 /// Effect of an accepted heartbeat.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum HeartbeatEffect {
@@ -90,6 +111,16 @@
     }
 }
 
+impl Deregistration {
+    /// Returns `true` if the notice belongs to the run with this identifier and start.
+    pub(super) fn belongs_to(&self, id: &str, started_at_ms: u64) -> bool {
+        self.id == id
+            && self
+                .started_at_ms
+                .is_none_or(|start| start == started_at_ms)
+    }
+}
+
 impl Rejection {
     /// Returns the name of the reason, as logs and metrics have it.
     #[must_use]
--- a/crates/lavenderseam_passthrough/src/agent/backend/mod.rs
+++ b/crates/lavenderseam_passthrough/src/agent/backend/mod.rs
@@ -24,8 +24,10 @@
 use super::Settings;
 use crate::message::TargetState;
 use candidates::{Candidates, Series};
+pub use heartbeat::{
+    Departure, Deregistration, Heartbeat, HeartbeatEffect, Rejection, SERVING_HEARTBEAT_SEQUENCE,
+};
 use heartbeat::{FIRST_HEARTBEAT_SEQUENCE, MAX_HEARTBEAT_SEQUENCE};
-pub use heartbeat::{Heartbeat, HeartbeatEffect, Rejection, SERVING_HEARTBEAT_SEQUENCE};
 pub(crate) use run::BackendRun;
 
 /// Heartbeats in a row after which a run replaces one that isn't silent: one of the two writers isn't the
@@ -192,39 +194,49 @@
     /// Records that the port of the backend server is closed; returns `true` if the state has
     /// changed.
     pub(crate) fn on_closed_port(&mut self) -> bool {
+        let mut was_closed = true;
         match &mut self.state {
             BackendState::Unknown => {
                 self.state = BackendState::Absent;
                 self.candidates.clear();
                 return true;
             }
-            BackendState::Running(run) | BackendState::Terminated(run) => run.port_closed = true,
+            BackendState::Running(run) | BackendState::Terminated(run) => {
+                was_closed = std::mem::replace(&mut run.port_closed, true);
+            }
             BackendState::Absent => {}
         }
         let had_candidate = self.has_candidate();
         self.candidates.clear();
-        self.mark_terminated() || had_candidate
+        self.mark_terminated();
+        !was_closed || had_candidate
     }
 
-    /// Marks the current run as terminated; returns `true` if it was running.
-    fn mark_terminated(&mut self) -> bool {
+    /// Marks the current run as terminated.
+    fn mark_terminated(&mut self) {
         if let BackendState::Running(run) = &self.state {
             self.state = BackendState::Terminated(run.clone());
-            return true;
         }
-        false
     }
 
-    /// Marks the run of the backend server with this identifier as terminated; returns `true` if it
-    /// was running.
-    pub(crate) fn mark_departed(&mut self, id: &str) -> bool {
-        self.candidates.remove(id);
-        let is_running = matches!(&self.state, BackendState::Running(run) if run.id == id);
-        let departed = is_running && self.mark_terminated();
-        if let BackendState::Terminated(run) = &mut self.state {
-            run.departed |= departed;
+    /// Handles the notice of a backend server that it terminates.
+    ///
+    /// It may be late, and from an earlier run under the same identifier, or come from another writer. So
+    /// flows end only with the port, and a run that hasn't announced a drain goes on until then.
+    pub(crate) fn on_deregistration(&mut self, deregistration: &Deregistration) -> Departure {
+        self.candidates.remove(deregistration);
+        let BackendState::Running(run) = &mut self.state else {
+            return Departure::OtherRun;
+        };
+        if !deregistration.belongs_to(&run.id, run.started_at_ms) {
+            return Departure::OtherRun;
+        }
+        run.departed = true;
+        if !run.draining {
+            return Departure::Unexpected;
         }
-        departed
+        self.mark_terminated();
+        Departure::Accepted
     }
 
     /// Returns the current run, or `None` if no backend server is known to be running.
@@ -268,7 +280,18 @@
         match &self.state {
             BackendState::Unknown => false,
             BackendState::Running(run) => run.all_flows_seen,
-            BackendState::Absent | BackendState::Terminated(_) => true,
+            BackendState::Absent => true,
+            BackendState::Terminated(run) => run.port_closed || run.all_flows_seen,
+        }
+    }
+
+    /// Returns `true` if the backend server has announced its end, and its port isn't known to be closed.
+    pub(crate) const fn is_expected_to_end(&self) -> bool {
+        match &self.state {
+            BackendState::Running(run) | BackendState::Terminated(run) => {
+                run.departed && !run.port_closed
+            }
+            BackendState::Unknown | BackendState::Absent => false,
         }
     }
 
--- a/crates/lavenderseam_passthrough/src/agent/liveness.rs
+++ b/crates/lavenderseam_passthrough/src/agent/liveness.rs
@@ -59,11 +59,11 @@
             && now.since(self.last_bounce) < BOUNCE_COOLDOWN
     }
 
-    /// Returns `true` if a probe is due, and records its time; `is_unknown` tells that it isn't
+    /// Returns `true` if a probe is due, and records its time; `is_uncertain` tells that it isn't
     /// known whether a backend server is running.
-    pub(crate) fn take_probe_due(&mut self, is_unknown: bool, now: Instant) -> bool {
+    pub(crate) fn take_probe_due(&mut self, is_uncertain: bool, now: Instant) -> bool {
         let timed_out = |since| now.since(since) >= UNANSWERED_TIMEOUT;
-        let suspect = is_unknown
+        let suspect = is_uncertain
             || self.consecutive_bounces > 0
             || self.unanswered_since.is_some_and(timed_out);
         let interval_elapsed = |at| now.since(at) >= PROBE_INTERVAL;
--- a/crates/lavenderseam_passthrough/src/agent/mod.rs
+++ b/crates/lavenderseam_passthrough/src/agent/mod.rs
@@ -36,7 +36,9 @@
 use crate::segment::Segment;
 use admission::Admission;
 use backend::Backend;
-pub use backend::{Heartbeat, HeartbeatEffect, Rejection, SERVING_HEARTBEAT_SEQUENCE};
+pub use backend::{
+    Departure, Deregistration, Heartbeat, HeartbeatEffect, Rejection, SERVING_HEARTBEAT_SEQUENCE,
+};
 use balancers::{Balancers, Recipient};
 use cold_start::ColdStartLimiter;
 use delivered::DeliveredPackets;
@@ -454,15 +456,13 @@
         Ok(outcome)
     }
 
-    /// Handles the notice of the backend server with this identifier that it terminates; returns
-    /// `true` if it was running.
-    pub fn on_backend_departed(&mut self, id: &str, now: Instant) -> bool {
-        let departed = self.backend.mark_departed(id);
-        if departed {
-            self.end_all_flows(now);
-            self.announce_to_all = true;
-        }
-        departed
+    /// Handles the notice of a backend server that it terminates.
+    ///
+    /// Its flows end once its port is closed, which is probed from now on.
+    pub fn on_deregistration(&mut self, deregistration: &Deregistration) -> Departure {
+        let departure = self.backend.on_deregistration(deregistration);
+        self.announce_to_all |= departure == Departure::Accepted;
+        departure
     }
 
     /// Handles a refused connection, which means that no backend server is running; returns `true`
@@ -519,8 +519,9 @@
         }
         // A run that sends no further heartbeat before the serving one may have ended.
         let is_uncertain = self.backend.is_unknown() || self.backend.has_candidate();
-        let probes = is_uncertain || self.backend.current_run().is_some();
-        if probes && self.liveness.take_probe_due(is_uncertain, now) {
+        let is_suspect = is_uncertain || self.backend.is_expected_to_end();
+        let probes = is_suspect || self.backend.current_run().is_some();
+        if probes && self.liveness.take_probe_due(is_suspect, now) {
             actions.push(Action::ProbeBackend);
         }
         actions.extend(self.due_announcements(now));
