Drop the pending requests of a departed run when the next one is known

Cause: since flows no longer end with the notice of their backend server, a run that started before the port was found closed began with the requests and flows of the one before: they counted as its work for up to 5 s, and their bounces as its failures. Change: whenever a run follows another one, tracked flows may be lost and none of their requests is pending.

--- a/crates/lavenderseam_passthrough/src/agent/backend/mod.rs
+++ b/crates/lavenderseam_passthrough/src/agent/backend/mod.rs
@@ -252,6 +252,14 @@
         matches!(&self.state, BackendState::Terminated(run) if run.departed)
     }
 
+    /// Returns `true` if a run is or was known to be running.
+    pub(crate) const fn has_run(&self) -> bool {
+        matches!(
+            self.state,
+            BackendState::Running(_) | BackendState::Terminated(_)
+        )
+    }
+
     /// Returns `true` if nothing is known about the backend server.
     pub(crate) const fn is_unknown(&self) -> bool {
         matches!(self.state, BackendState::Unknown)
--- a/crates/lavenderseam_passthrough/src/agent/mod.rs
+++ b/crates/lavenderseam_passthrough/src/agent/mod.rs
@@ -416,6 +416,7 @@
     ) -> Result<HeartbeatEffect, Rejection> {
         self.identity.check(heartbeat)?;
         let was_starting = self.backend.has_candidate();
+        let had_run = self.backend.has_run();
         let outcome = self.backend.apply(heartbeat, &self.settings, now)?;
         match outcome {
             HeartbeatEffect::Unchanged => {}
@@ -439,9 +440,10 @@
                     self.unregistered_since = Some(now);
                 }
                 self.announce_to_all = true;
-                if replaces_running {
+                if had_run {
                     self.flows.on_other_run(now);
-                } else {
+                }
+                if !replaces_running {
                     self.cold_start.clear();
                 }
                 if !all_flows_seen {
--- a/crates/lavenderseam_passthrough/tests/agent.rs
+++ b/crates/lavenderseam_passthrough/tests/agent.rs
@@ -363,6 +363,23 @@
     expect_that!(agent.target_state(), eq(TargetState::Ready));
 }
 
+/// Guards against requests of a run that has departed which count as pending at the next one, because the port
+/// was never found closed between the two.
+#[gtest]
+fn requests_of_a_departed_run_are_no_work_of_the_next() {
+    let mut agent = agent();
+    open_with_request(&mut agent, 1, at_ms(5));
+    let mut draining = heartbeat_after_serving(1);
+    draining.draining = true;
+    agent.on_heartbeat(&draining, at_ms(10)).unwrap();
+    agent.on_deregistration(&deregistration(None));
+    let mut next_run = heartbeat(1);
+    next_run.id = "b-2".to_owned();
+    start_backend(&mut agent, &next_run, at_ms(300)).unwrap();
+    expect_that!(agent.target_state(), eq(TargetState::Ready));
+    expect_that!(agent.target_load(at_ms(301)).busy_slots, eq(0));
+}
+
 /// Returns the notice of the backend server that it terminates.
 fn deregistration(started_at_ms: Option<u64>) -> Deregistration {
     Deregistration {
