--- a/crates/lavenderseam_passthrough/src/agent/backend/candidates.rs
+++ b/crates/lavenderseam_passthrough/src/agent/backend/candidates.rs
@@ -1,18 +1,18 @@
 //! Runs that may have replaced the known one, by the heartbeats that have arrived.
 //!
-//! Heartbeats may be late, or come from another writer. Those of one writer are told from the others by
-//! their numbers: a series is a row of them without a gap. Several series are kept, so that heartbeats of
-//! another writer between those of the backend server don't interrupt its own.
+//! Heartbeats may be late, or come from a sender that isn't the backend server. A series holds those of one
+//! run with consecutive sequence numbers. Several series are kept, so that other heartbeats between those of
+//! the backend server don't interrupt its series.
 
 use super::heartbeat::{Deregistration, Heartbeat, SERVING_HEARTBEAT_SEQUENCE};
 
-/// Maximum number of series. Beyond it, the one that has waited longest for its next heartbeat is removed.
+/// Maximum number of series. Beyond it, the series whose last heartbeat is the oldest is removed.
 const MAX_SERIES: usize = 8;
 /// Heartbeats of the known run after which a series is no longer taken for that of the running one. The
 /// first may be a late one.
 const MAX_CONTRADICTIONS: u8 = 2;
 
-/// Heartbeats of one run, each with the number after that of the one before.
+/// Heartbeats of one run with consecutive sequence numbers.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(super) struct Series {
     id: String,
--- a/crates/lavenderseam_passthrough/src/agent/backend/mod.rs
+++ b/crates/lavenderseam_passthrough/src/agent/backend/mod.rs
@@ -30,12 +30,12 @@
 use heartbeat::{FIRST_HEARTBEAT_SEQUENCE, MAX_HEARTBEAT_SEQUENCE};
 pub(crate) use run::BackendRun;
 
-/// Heartbeats in a row after which a run replaces one that isn't silent: one of the two writers isn't the
-/// backend server, and it isn't known which. Late heartbeats are fewer.
+/// Consecutive heartbeats after which a run replaces one that isn't silent: one of the two senders isn't the
+/// backend server, and it isn't known which. There are fewer late heartbeats than that.
 const CONTESTING_HEARTBEATS: u64 = 16;
 
-/// Heartbeats in a row by which the known run goes on with numbers below its last one, because that one came
-/// from another writer. Late heartbeats are fewer.
+/// Consecutive heartbeats by which the known run continues with numbers below its last one, because that one
+/// came from another sender. There are fewer late heartbeats than that.
 const RENUMBERING_HEARTBEATS: u64 = 4;
 
 /// State of the backend server beside the agent.
--- a/crates/lavenderseam_passthrough/src/agent/backend/run.rs
+++ b/crates/lavenderseam_passthrough/src/agent/backend/run.rs
@@ -102,8 +102,10 @@
         now.since(self.heard_at) >= interval.saturating_add(interval / 2)
     }
 
-    /// Returns `true` if the run was heard for longer than it takes late heartbeats to arrive in a row, by one
-    /// that was acknowledged and the next one.
+    /// Returns `true` if heartbeats of the run have arrived over half an interval or more.
+    ///
+    /// A backend server waits for about an interval after an acknowledged heartbeat; late heartbeats arrive
+    /// one right after the other.
     pub(super) fn is_lasting(&self, settings: &Settings) -> bool {
         self.heard_at.since(self.known_since) >= settings.heartbeat_interval / 2
     }
