Notice a closed port of the backend server at once

What callers saw: after a crash, the packet of the next caller was lost, up to 353 ms after another run of the backend server had started, and the target was taken to have ended until the fourth heartbeat of that run. Cause: the receiver of the agent's connected socket waited until it was readable. A refused datagram sets an error without making the socket readable, so the next send got the error in place of sending its packet. Change: the receiver waits for errors as well. tokio's try_io recognises one kind of readiness at a time, so errors are received by a second call. The test times out without the change.

--- a/crates/lavenderseam_node/src/socket.rs
+++ b/crates/lavenderseam_node/src/socket/mod.rs
@@ -1,5 +1,8 @@
 //! UDP sockets that receive datagrams in batches.
 
+#[cfg(test)]
+mod tests;
+
 use std::cell::Cell;
 use std::io;
 use std::mem::size_of;
@@ -15,6 +18,9 @@
 /// Maximum size of a datagram: a message followed by a packet.
 pub(crate) const MAX_DATAGRAM_BYTES: usize = 2_048;
 
+/// What a receiver waits for: datagrams, and errors of a connected socket, which don't make it readable.
+const RECEIVE_INTEREST: Interest = Interest::READABLE.add(Interest::ERROR);
+
 /// Non-blocking UDP socket.
 #[derive(Debug)]
 pub(crate) struct DatagramSocket {
@@ -43,7 +49,8 @@
 
     /// Binds a socket and connects it to one peer.
     ///
-    /// A connected socket reports `ConnectionRefused` once the port of its peer is closed.
+    /// A connected socket reports `ConnectionRefused` when a datagram reaches a closed port of its peer: to
+    /// the receiver at once, or to the next `send`, which then sends nothing.
     pub(crate) async fn connect(local: SocketAddrV4, peer: SocketAddrV4) -> io::Result<Self> {
         let inner = UdpSocket::bind(local).await?;
         inner.connect(peer).await?;
@@ -76,20 +83,17 @@
         discard_length(self.inner.try_send(bytes))
     }
 
-    /// Receives datagrams forever and passes each to `handle`, with its sender.
+    /// Receives datagrams forever and passes each to `handle`, with its sender; errors as well.
     pub(crate) async fn receive(
         &self,
         mut handle: impl FnMut(io::Result<(&mut [u8], SocketAddrV4)>),
     ) {
         let mut batch = ReceiveBatch::new();
         loop {
-            if let Err(error) = self.inner.readable().await {
+            if let Err(error) = self.inner.ready(RECEIVE_INTEREST).await {
                 handle(Err(error));
             }
-            let received = self
-                .inner
-                .try_io(Interest::READABLE, || batch.receive(&self.inner));
-            match received {
+            match self.try_receive(&mut batch) {
                 Ok(count) => {
                     for index in 0..count {
                         handle(Ok(batch.datagram(index)));
@@ -112,6 +116,16 @@
         }
     }
 
+    /// Receives a batch of datagrams, or the error of the socket.
+    fn try_receive(&self, batch: &mut ReceiveBatch) -> io::Result<usize> {
+        // `try_io` recognises only one kind of readiness at a time.
+        let mut receive = |interest| self.inner.try_io(interest, || batch.receive(&self.inner));
+        match receive(Interest::READABLE) {
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => receive(Interest::ERROR),
+            received => received,
+        }
+    }
+
     /// Marks the receive queue as empty.
     ///
     /// Clears tokio's readiness flag, which saves a `recvmmsg` call that would only return
