Deny nothing on the first heartbeat of a run that was silent when the agent started

What callers saw: a backend server crashes and is back within 0.1 s, unnoticed by its agent, which lets flows through to the new run; the agent is killed before the first heartbeat of that run; the next agent denies these flows, and balancers reset them, though the backend server holds them. Cause: an agent that hears a run before its serving heartbeat concluded that no agent before it had let flows through to it. That holds only for agents that knew of the run. Change: a first heartbeat shows nothing to an agent that knows of no run and hasn't found the port closed, nor to one that hasn't seen all flows of the run before. It delivers packets of unknown flows, which the backend server bounces if it doesn't hold them. A second or third heartbeat heard first still shows it: that is what a loss of power looks like, where callers wait for denials.

--- a/crates/lavenderseam_passthrough/src/agent/backend/mod.rs
+++ b/crates/lavenderseam_passthrough/src/agent/backend/mod.rs
@@ -5,7 +5,8 @@
 //! tells a process of the one before it. So no agent lets flows through to a run before a certain
 //! heartbeat of it, the serving one. An agent that has received all heartbeats from an earlier one on
 //! knows that no agent before it has let flows through; the same holds if the port of the backend server
-//! was closed before.
+//! was closed before. The first heartbeat alone doesn't show it: until then an agent may have let flows
+//! through in the belief that the run before was still running.
 //!
 //! A heartbeat may be a late one of a run that has ended, or come from another writer that passes for the
 //! backend server. So a run is only a candidate until two of its heartbeats have arrived in a row, and it
@@ -46,6 +47,9 @@
     candidates: Candidates,
     /// Heartbeats of the known run that don't follow its last one.
     out_of_order: Candidates,
+    /// `true` if the first heartbeat of a run arrived although its port wasn't found closed before. The agent
+    /// before this one may have let flows through to that run, which it took for the run before.
+    was_silent_at_start: bool,
 }
 
 /// State of the backend server beside the agent.
@@ -74,6 +78,9 @@
         if !(FIRST_HEARTBEAT_SEQUENCE..=MAX_HEARTBEAT_SEQUENCE).contains(&heartbeat.sequence) {
             return Err(Rejection::ImplausibleSequence(heartbeat.sequence));
         }
+        if matches!(self.state, BackendState::Unknown) {
+            self.was_silent_at_start |= heartbeat.sequence == FIRST_HEARTBEAT_SEQUENCE;
+        }
         if let BackendState::Running(run) | BackendState::Terminated(run) = &self.state
             && run.is_run_of(heartbeat)
         {
@@ -95,12 +102,16 @@
         }
         let first_sequence = series.first_sequence;
         let all_flows_seen = match &self.state {
-            BackendState::Unknown => first_sequence < SERVING_HEARTBEAT_SEQUENCE,
+            BackendState::Unknown => {
+                first_sequence < SERVING_HEARTBEAT_SEQUENCE && !self.was_silent_at_start
+            }
             BackendState::Absent => true,
             // The agent may have let flows through to the new run in the belief that the known one
-            // was still running, until it received a heartbeat of the new one.
-            BackendState::Running(_) | BackendState::Terminated(_) => {
-                first_sequence == FIRST_HEARTBEAT_SEQUENCE || self.has_closed_port()
+            // was still running, until it received a heartbeat of the new one. If it hasn't seen all
+            // flows of the known one, the agent before it may have done so as well.
+            BackendState::Running(run) | BackendState::Terminated(run) => {
+                let is_first = first_sequence == FIRST_HEARTBEAT_SEQUENCE;
+                (is_first && run.all_flows_seen) || self.has_closed_port()
             }
         };
         self.out_of_order.clear();
--- a/crates/lavenderseam_passthrough/tests/agent.rs
+++ b/crates/lavenderseam_passthrough/tests/agent.rs
@@ -139,6 +139,7 @@
         backend_address: BACKEND,
         run_id: 1,
     });
+    agent.on_connection_refused(at_ms(0));
     let mut cold = heartbeat(1);
     cold.cold_remaining = Duration::from_secs(2);
     start_backend(&mut agent, &cold, at_ms(0)).unwrap();
--- a/model/heartbeats.pml
+++ b/model/heartbeats.pml
@@ -23,7 +23,10 @@
  *   MUTANT_FORGET_START a run that becomes known ends the start of another
  *   MUTANT_REJECT_REPLACED
  *                       heartbeats of a run that was replaced are rejected
- *   MUTANT_DEAF         an agent restarts between the start of a run and its serving heartbeat, after it has let
+ *   MUTANT_SILENT_START the first heartbeat of a run shows that all flows have been
+ *                       seen, to an agent that knows nothing and has not found the port closed
+ *   MUTANT_UNSEEN       the first heartbeat of a run shows it to an agent that hasn't seen all flows of the run before
+ *   MUTANT_DEAF         an agent restarts between the first heartbeat of a run and its serving one, after it has let
  *                       flows through to it in the belief that its predecessor still runs
  *   MUTANT_FALSE_START  the other writer counts its heartbeats from an early one on
  */
@@ -56,6 +59,7 @@
 bool ended = false;     /* that run has ended, because the port was found closed */
 bool seen_all;          /* the agent has seen all flows of that run */
 bool tracked = false;   /* the agent tracks the flow */
+bool silent_start;      /* an agent that knows nothing has heard a first heartbeat */
 /* Heartbeats in a row of each other run: numbers of the first (0: none) and last, and heartbeats of the known
  * run since. */
 byte first[SOURCES];
@@ -117,13 +121,25 @@
     index = 0
 }
 
+#ifdef MUTANT_SILENT_START
+#define STARTED_SILENTLY false
+#else
+#define STARTED_SILENTLY silent_start
+#endif
+
+#ifdef MUTANT_UNSEEN
+#define SAW_PREDECESSOR true
+#else
+#define SAW_PREDECESSOR seen_all
+#endif
+
 /* Another run is taken to be running. It may hold flows that the agent tracks. */
 inline replace(source, number) {
     if
-    :: known == UNKNOWN -> all = HEARD_EARLY(source)
+    :: known == UNKNOWN -> all = (HEARD_EARLY(source) && !STARTED_SILENTLY)
     :: known == ABSENT || ended -> all = true
     :: known < ABSENT && !ended ->
-        all = (first[source] == 1)
+        all = (first[source] == 1 && SAW_PREDECESSOR)
 #ifdef MUTANT_END_FLOWS
         ; assert(!(all && tracked && held)); tracked = false
 #endif
@@ -158,6 +174,7 @@
 
 inline receive(source, number) {
     is_heard = (is_heard || source == current);
+    silent_start = (silent_start || (known == UNKNOWN && number == 1));
     if
     :: known == source && number > heard ->
         heard = number;
@@ -205,6 +222,7 @@
     seen_all = false;
     heard = 0;
     is_heard = false;
+    silent_start = false;
     forget_others()
 }
 
@@ -220,7 +238,7 @@
 #ifdef MUTANT_DEAF
 #define MAY_RESTART_AGENT true
 #else
-#define MAY_RESTART_AGENT (sent >= SERVING || !held || !unannounced)
+#define MAY_RESTART_AGENT (sent == 0 || sent >= SERVING || !held || !unannounced)
 #endif
 
 #ifdef MUTANT_FALSE_START
