Ignore a refused probe that is older than the last packet to the backend server

Cause: a refused TCP connection was taken to mean that no backend server is running now. It means that none was when the probe began. If the agent is paused meanwhile and another run starts, packets that wait in its socket may be delivered to that run first, and the refusal then ends its flows. Change: a refusal counts only if no packet was delivered and no heartbeat counted since the probe began; otherwise the probe is repeated at the next tick. Refused packets are reported before the next one is sent and need no check. Result: an_outdated_probe_ends_no_flow_of_the_next_run fails without the check.

--- a/crates/lavenderseam_node/src/agent/driver.rs
+++ b/crates/lavenderseam_node/src/agent/driver.rs
@@ -136,7 +136,7 @@
             .receive(|received| match received {
                 Ok(_) => {}
                 Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => {
-                    self.handle_port_closed("port closed");
+                    self.handle_port_closed();
                 }
                 Err(error) => self.process.record_socket_error("backend", &error),
             })
@@ -278,11 +278,11 @@
         }
     }
 
-    /// Handles evidence that the port of the backend server is closed.
-    fn handle_port_closed(&self, reason: &'static str) {
+    /// Handles a packet to the backend server that was refused because its port is closed.
+    fn handle_port_closed(&self) {
         let now = self.process.clock.now();
         if self.agent.borrow_mut().on_connection_refused(now) {
-            self.report_backend_exit("", reason);
+            self.report_backend_exit("", "port closed");
         }
     }
 
@@ -381,7 +381,7 @@
         match self.backend_socket.send(bytes) {
             Ok(()) => {}
             Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => {
-                self.handle_port_closed("port closed");
+                self.handle_port_closed();
             }
             Err(error) => self.process.record_socket_error("backend", &error),
         }
@@ -518,12 +518,16 @@
             return;
         }
         let address = SocketAddr::V4(self.backend_address);
+        let started_at = self.process.clock.now();
         let connected = tokio::time::timeout(PROBE_TIMEOUT, TcpStream::connect(address)).await;
         self.is_probing.set(false);
         if let Ok(Err(error)) = connected
             && error.kind() == io::ErrorKind::ConnectionRefused
         {
-            self.handle_port_closed("connection refused");
+            let now = self.process.clock.now();
+            if self.agent.borrow_mut().on_probe_refused(started_at, now) {
+                self.report_backend_exit("", "connection refused");
+            }
         }
     }
 }
--- a/crates/lavenderseam_passthrough/src/agent/liveness.rs
+++ b/crates/lavenderseam_passthrough/src/agent/liveness.rs
@@ -27,6 +27,8 @@
     /// Time of the last such bounce.
     last_bounce: Instant,
     last_probe: Option<Instant>,
+    /// `true` if the last probe showed nothing.
+    repeats_probe: bool,
 }
 
 impl BackendLiveness {
@@ -53,6 +55,11 @@
         self.last_bounce = now;
     }
 
+    /// Requests another probe, because the last one showed nothing.
+    pub(crate) fn repeat_probe(&mut self) {
+        self.repeats_probe = true;
+    }
+
     /// Returns `true` if new flows are rejected without reaching the backend server.
     pub(crate) fn rejects_new_flows(&self, now: Instant) -> bool {
         self.consecutive_bounces >= MAX_CONSECUTIVE_BOUNCES
@@ -67,7 +74,8 @@
             || self.consecutive_bounces > 0
             || self.unanswered_since.is_some_and(timed_out);
         let interval_elapsed = |at| now.since(at) >= PROBE_INTERVAL;
-        let due = suspect && self.last_probe.is_none_or(interval_elapsed);
+        let repeats = std::mem::take(&mut self.repeats_probe);
+        let due = repeats || (suspect && self.last_probe.is_none_or(interval_elapsed));
         if due {
             self.last_probe = Some(now);
         }
--- a/crates/lavenderseam_passthrough/src/agent/location.rs
+++ b/crates/lavenderseam_passthrough/src/agent/location.rs
@@ -84,7 +84,7 @@
         match admission {
             Ok(Admission::KnownFlow) => {
                 self.flows.on_caller_segment(segment, now);
-                self.liveness.on_delivery(now);
+                self.record_delivery(now);
                 let load = self.target_load(now);
                 Verification::Held {
                     mark: self.delivered.insert(balancer, None),
@@ -92,7 +92,7 @@
                 }
             }
             Ok(Admission::Unverified) => {
-                self.liveness.on_delivery(now);
+                self.record_delivery(now);
                 self.unconfirmed.insert(flow, balancer, now);
                 let mark = self.delivered.insert(balancer, None);
                 Verification::Deliver { mark }
--- a/crates/lavenderseam_passthrough/src/agent/mod.rs
+++ b/crates/lavenderseam_passthrough/src/agent/mod.rs
@@ -172,6 +172,8 @@
     /// `true` if an announcement to all balancers is due at once.
     announce_to_all: bool,
     liveness: BackendLiveness,
+    /// Time of the last packet to the backend server, or of its last heartbeat that counted.
+    backend_used_at: Option<Instant>,
     response_time: ResponseTime,
     occupancy: Occupancy,
     penalties: FailurePenalties,
@@ -218,6 +220,7 @@
             announcement_sequence: 0,
             announce_to_all: false,
             liveness: BackendLiveness::default(),
+            backend_used_at: None,
             response_time: ResponseTime::default(),
             occupancy: Occupancy::default(),
             penalties: FailurePenalties::default(),
@@ -280,7 +283,7 @@
         match self.admit_packet(segment, &header, now) {
             Ok(Admission::KnownFlow) => {
                 self.flows.on_caller_segment(segment, now);
-                self.liveness.on_delivery(now);
+                self.record_delivery(now);
                 let sends_confirmation = header.wants_confirmation && !segment.is_syn();
                 let confirmation = sends_confirmation.then(|| FlowConfirmation {
                     flow: segment.flow,
@@ -290,7 +293,7 @@
                 Verdict::Deliver { mark, confirmation }
             }
             Ok(admission @ (Admission::NewFlow | Admission::Unverified)) => {
-                self.liveness.on_delivery(now);
+                self.record_delivery(now);
                 if header.wants_confirmation && matches!(admission, Admission::Unverified) {
                     self.unconfirmed.insert(segment.flow, balancer, now);
                 }
@@ -418,6 +421,7 @@
         let was_starting = self.backend.has_candidate();
         let had_run = self.backend.has_run();
         let outcome = self.backend.apply(heartbeat, &self.settings, now)?;
+        self.backend_used_at = Some(now);
         match outcome {
             HeartbeatEffect::Unchanged => {}
             HeartbeatEffect::StateChanged => self.announce_to_all = true,
@@ -467,8 +471,10 @@
         departure
     }
 
-    /// Handles a refused connection, which means that no backend server is running; returns `true`
-    /// if this wasn't known.
+    /// Handles a refused packet, which means that no backend server is running; returns `true` if this
+    /// wasn't known.
+    ///
+    /// The socket reports it before it sends another packet, so no flow of a later run ends.
     pub fn on_connection_refused(&mut self, now: Instant) -> bool {
         let ended = self.backend.on_closed_port();
         if ended {
@@ -478,6 +484,19 @@
         ended
     }
 
+    /// Handles a refused connection of a probe that began at `started_at`; returns `true` if it shows that no
+    /// backend server is running, and this wasn't known.
+    ///
+    /// Another run may have started since, and accepted flows. So the refusal is outdated if the backend server
+    /// was used meanwhile, and it is probed again.
+    pub fn on_probe_refused(&mut self, started_at: Instant, now: Instant) -> bool {
+        if self.backend_used_at.is_some_and(|used| used >= started_at) {
+            self.liveness.repeat_probe();
+            return false;
+        }
+        self.on_connection_refused(now)
+    }
+
     /// Handles the reply of a balancer to an announcement.
     pub fn on_balancer_hello(&mut self, hello: &Hello, from: SocketAddrV4, now: Instant) {
         self.balancers.on_message(from, &self.settings, now);
@@ -611,6 +630,12 @@
         self.occupancy.mean(now)
     }
 
+    /// Records that a packet is delivered to the backend server.
+    fn record_delivery(&mut self, now: Instant) {
+        self.liveness.on_delivery(now);
+        self.backend_used_at = Some(now);
+    }
+
     /// Removes the flows of a terminated backend server, but remembers that it held them.
     fn end_all_flows(&mut self, now: Instant) {
         for flow in self.flows.clear(now) {
--- a/crates/lavenderseam_passthrough/tests/agent_backend.rs
+++ b/crates/lavenderseam_passthrough/tests/agent_backend.rs
@@ -75,6 +75,27 @@
     expect_that!(return_reason(&verdict), some(eq(Reason::NotHeld)));
 }
 
+/// Guards against a probe that is refused while the agent is paused, and ends the flows that the next run of the
+/// backend server has accepted since.
+#[gtest]
+fn an_outdated_probe_ends_no_flow_of_the_next_run() {
+    let mut agent = agent();
+    let probed_at = at_ms(10);
+    open_with_request(&mut agent, 1, at_ms(20));
+    expect_that!(agent.on_probe_refused(probed_at, at_ms(30)), eq(false));
+    let verdict = agent.on_forwarded_packet(&request(1, 901), header(), BALANCER, at_ms(40));
+    expect_that!(is_delivered(&verdict), eq(true));
+    // The port is probed again, and only a refusal that is newer than the last packet counts.
+    expect_that!(agent.tick(at_ms(50)), contains(eq(&Action::ProbeBackend)));
+    expect_that!(
+        agent.tick(at_ms(60)),
+        not(contains(eq(&Action::ProbeBackend)))
+    );
+    expect_that!(agent.on_probe_refused(at_ms(50), at_ms(60)), eq(true));
+    let verdict = agent.on_forwarded_packet(&request(1, 901), header(), BALANCER, at_ms(70));
+    expect_that!(return_reason(&verdict), some(eq(Reason::Ended)));
+}
+
 #[gtest]
 fn new_backend_run_ends_flows_of_previous_run() {
     let mut agent = agent();
