Ask agents again while they may be restarting, and visit no target meanwhile

Cause: a search gives up an agent that doesn't answer within 0.25 s, and sends the caller's packets to the targets that are left, one after the other. The owner's agent is restarting, as are those of other targets, where the packets are lost; the caller sends the next one up to 1.6 s later. In a trial with a line for each step, the owner's agent was heard again before the packet went to another target, whose agent was down. Change: a search asks again while an undecided agent was heard within 0.8 s and the search is younger than that; targets that have denied the flow get no further copy. Visits begin with the target heard last.

--- a/crates/lavenderseam_passthrough/src/balancer/conclusion.rs
+++ b/crates/lavenderseam_passthrough/src/balancer/conclusion.rs
@@ -87,7 +87,7 @@
     pub(super) fn visit_or_end(
         &mut self,
         flow: Flow,
-        remaining: Vec<TargetId>,
+        mut remaining: Vec<TargetId>,
         now: Instant,
     ) -> Option<SearchAction> {
         if remaining.is_empty() {
@@ -105,6 +105,13 @@
             }
             return None;
         }
+        if self.may_answer_soon(flow, &remaining, now) {
+            self.searches.wait_for_query(flow);
+            return None;
+        }
+        // Visits take the last target first.
+        let heard_at = |target: &TargetId| self.targets.get(*target).map(|it| it.last_message_at);
+        remaining.sort_by_key(heard_at);
         if let Some(search) = self.searches.by_flow.get_mut(&flow) {
             search.phase = Phase::Visiting {
                 remaining,
@@ -114,6 +121,21 @@
         Some(SearchAction::resolve(flow, Resolution::Resume))
     }
 
+    /// Returns `true` if an agent that hasn't told whether its target holds a flow was heard so recently that it
+    /// may be restarting.
+    ///
+    /// A visit of its target would lose the packet, and the caller sends the next one up to 1.6 s later.
+    fn may_answer_soon(&self, flow: Flow, undecided: &[TargetId], now: Instant) -> bool {
+        let limit = self.settings.agent_restart_time;
+        let search = self.searches.by_flow.get(&flow);
+        let is_recent = |at: Instant| now.since(at) < limit;
+        let was_heard = |target: &TargetId| {
+            let target = self.targets.get(*target);
+            target.is_some_and(|target| is_recent(target.last_message_at))
+        };
+        search.is_some_and(|search| is_recent(search.started_at)) && undecided.iter().any(was_heard)
+    }
+
     /// Asks about uncertain flows again once this balancer knows all targets, and gives up those
     /// that have waited for too long.
     pub(super) fn reconsider_uncertain(&mut self, now: Instant, actions: &mut Vec<SearchAction>) {
--- a/crates/lavenderseam_passthrough/src/balancer/location.rs
+++ b/crates/lavenderseam_passthrough/src/balancer/location.rs
@@ -117,7 +117,9 @@
             }
         }
         for flow in unverified {
-            if let Some(targets) = self.searches.unverified_mut(flow, number) {
+            let search = self.searches.by_flow.get(&flow);
+            let has_denied = search.is_some_and(|search| search.denied.contains(&target_id));
+            if !has_denied && let Some(targets) = self.searches.unverified_mut(flow, number) {
                 targets.push(target_id);
             }
         }
--- a/crates/lavenderseam_passthrough/src/balancer/searches.rs
+++ b/crates/lavenderseam_passthrough/src/balancer/searches.rs
@@ -25,6 +25,8 @@
     /// Value of [`Targets::additions`](super::targets::Targets::additions) when the last query about
     /// the flow was sent.
     pub(super) additions: u64,
+    /// Targets that have denied the flow after they got a copy of a packet.
+    pub(super) denied: Vec<TargetId>,
 }
 
 /// Progress of a search.
@@ -139,6 +141,7 @@
             phase: Phase::Waiting,
             started_at: now,
             additions: 0,
+            denied: Vec::new(),
         };
         self.by_flow.insert(segment.flow, search);
         true
--- a/crates/lavenderseam_passthrough/src/balancer/settings.rs
+++ b/crates/lavenderseam_passthrough/src/balancer/settings.rs
@@ -80,6 +80,9 @@
     /// asked: enough for a lightly loaded service, whose flows are at the first targets in
     /// rendezvous order.
     pub max_search_visits: usize,
+    /// Time after the start of an agent for which all agents are asked at once: others may be restarted
+    /// next, and a visit of a target without an agent loses the packet.
+    pub visit_pause: Duration,
     /// Time for which flows are gathered for a location query if none was sent recently.
     pub query_gather_time: Duration,
     /// Minimum time between location queries for each target asked, which bounds the messages that
@@ -89,6 +92,9 @@
     pub verification_interval_per_target: Duration,
     /// Time that a flow waits for its verification before all agents are asked again.
     pub max_verification_wait: Duration,
+    /// Time for which an agent that restarts may be silent. A search asks again about a flow for that long,
+    /// before packets of the flow are sent to targets that don't answer.
+    pub agent_restart_time: Duration,
     /// Time after which a location query or verification is repeated to the targets that haven't answered.
     pub query_retry_interval: Duration,
     /// Number of times that a location query or verification is sent to a target that doesn't
@@ -164,10 +170,12 @@
             no_free_slot_hold: Duration::from_millis(20),
             rejection_hold: Duration::from_millis(50),
             max_search_visits: 4,
+            visit_pause: Duration::from_secs(5),
             query_gather_time: Duration::from_millis(2),
             query_interval_per_target: Duration::from_millis(1),
             verification_interval_per_target: Duration::from_micros(250),
             max_verification_wait: Duration::from_millis(200),
+            agent_restart_time: Duration::from_millis(800),
             query_retry_interval: Duration::from_millis(60),
             max_query_transmissions: 4,
             uncertain_timeout: Duration::from_secs(2),
--- a/crates/lavenderseam_passthrough/src/balancer/targets.rs
+++ b/crates/lavenderseam_passthrough/src/balancer/targets.rs
@@ -30,12 +30,17 @@
     /// Targets that have become known, or whose agents or backend servers have ended, since they were
     /// last taken.
     restarted: BTreeSet<TargetId>,
+    /// Time at which an agent that has started recently became known.
+    agent_started_at: Option<Instant>,
 }
 
 /// Seed that makes the choice of trial flows independent of the ranking of targets, which hashes
 /// the same key.
 const TRIAL_SEED: u64 = 0x5452_4941_4c53;
 
+/// Announcements below which an agent counts as started recently: it sends two to ten a second.
+const RECENT_ANNOUNCEMENTS: u64 = 12;
+
 /// Effect of an announcement on the known targets.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum AnnouncementEffect {
@@ -57,6 +62,7 @@
     ) -> AnnouncementEffect {
         let id = TargetId::new(agent);
         let service = ServiceId::new(&announcement.service);
+        self.record_start(id, announcement, now);
         let Some(existing) = self.by_id.get_mut(&id) else {
             let target = Target::new(agent, announcement, now);
             self.by_id.insert(id, target);
@@ -94,6 +100,22 @@
         }
     }
 
+    /// Records that an agent has started recently, if its run isn't known and has sent few announcements.
+    fn record_start(&mut self, id: TargetId, announcement: &Announcement, now: Instant) {
+        let is_known = self
+            .by_id
+            .get(&id)
+            .is_some_and(|known| known.run == announcement.run);
+        if !is_known && announcement.sequence < RECENT_ANNOUNCEMENTS {
+            self.agent_started_at = Some(now);
+        }
+    }
+
+    /// Returns `true` if an agent has started within `time`.
+    pub(crate) fn has_agent_started_within(&self, time: Duration, now: Instant) -> bool {
+        self.agent_started_at.is_some_and(|at| now.since(at) < time)
+    }
+
     /// Returns the state of all targets, to be sent to other balancers.
     pub(crate) fn snapshots(&self, now: Instant) -> Vec<TargetSnapshot> {
         let snapshot = |target: &Target| TargetSnapshot {
@@ -110,10 +132,12 @@
         for other in snapshots {
             let last_message_at = now - Duration::from_millis(other.age_ms);
             let id = TargetId::new(other.agent);
-            let existing = self.by_id.get(&id);
-            if existing.is_some_and(|existing| existing.last_message_at >= last_message_at) {
+            let known = self.by_id.get(&id);
+            if known.is_some_and(|known| known.last_message_at >= last_message_at) {
                 continue;
             }
+            self.record_start(id, &other.announcement, now);
+            let existing = self.by_id.get(&id);
             // Whether this balancer reaches the agent isn't known until it receives a message
             // from the agent itself.
             let mut target = Target::new(other.agent, &other.announcement, last_message_at);
--- a/crates/lavenderseam_passthrough/src/balancer/verification.rs
+++ b/crates/lavenderseam_passthrough/src/balancer/verification.rs
@@ -32,10 +32,18 @@
             return vec![self.end_search(flow, reset)];
         }
         verification.awaited.retain(|target| *target != target_id);
-        if !verification.awaited.is_empty() {
+        let is_complete = verification.awaited.is_empty();
+        let undecided = if is_complete {
+            std::mem::take(&mut verification.undecided)
+        } else {
+            Vec::new()
+        };
+        if let Some(search) = self.searches.by_flow.get_mut(&flow) {
+            search.denied.push(target_id);
+        }
+        if !is_complete {
             return Vec::new();
         }
-        let undecided = std::mem::take(&mut verification.undecided);
         self.visit_or_end(flow, undecided, now)
             .into_iter()
             .collect()
--- a/crates/lavenderseam_passthrough/tests/conclusions.rs
+++ b/crates/lavenderseam_passthrough/tests/conclusions.rs
@@ -73,7 +73,8 @@
         balancer.set_registered_agents(&registered(agents));
         Self {
             balancer,
-            sequence: 0,
+            // The agents have run for some time.
+            sequence: 1_000,
         }
     }
 
