Pause visits only for services whose agents are restarted

Cause: the pause of visits after the start of an agent held for all services. In a large deployment some agent starts within any 5 s, so that no search would visit a target any more. Change: the balancer remembers the last start for each service, and pauses visits for flows whose route names it. Result: the tests of lavenderseam_passthrough hold, those of restarting_agents among them.

--- a/crates/lavenderseam_passthrough/src/balancer/conclusion.rs
+++ b/crates/lavenderseam_passthrough/src/balancer/conclusion.rs
@@ -110,7 +110,10 @@
             return None;
         }
         // Visits take the last target first.
-        let heard_at = |target: &TargetId| self.targets.get(*target).map(|it| it.last_message_at);
+        let heard_at = |id: &TargetId| {
+            let target = self.targets.get(*id);
+            target.map(|target| target.last_message_at)
+        };
         remaining.sort_by_key(heard_at);
         if let Some(search) = self.searches.by_flow.get_mut(&flow) {
             search.phase = Phase::Visiting {
@@ -129,8 +132,8 @@
         let limit = self.settings.agent_restart_time;
         let search = self.searches.by_flow.get(&flow);
         let is_recent = |at: Instant| now.since(at) < limit;
-        let was_heard = |target: &TargetId| {
-            let target = self.targets.get(*target);
+        let was_heard = |id: &TargetId| {
+            let target = self.targets.get(*id);
             target.is_some_and(|target| is_recent(target.last_message_at))
         };
         search.is_some_and(|search| is_recent(search.started_at)) && undecided.iter().any(was_heard)
--- a/crates/lavenderseam_passthrough/src/balancer/search.rs
+++ b/crates/lavenderseam_passthrough/src/balancer/search.rs
@@ -55,8 +55,8 @@
     /// Sends a packet to the next target that may hold its flow, or resets the connection if
     /// certainly no target holds it.
     ///
-    /// A few likely targets get the packet itself, unless agents are being restarted. If none of them
-    /// holds the flow, the packet is held while all agents are asked.
+    /// A few likely targets get the packet itself, unless agents of their services are being restarted.
+    /// If none of them holds the flow, the packet is held while all agents are asked.
     pub(super) fn try_next_target(
         &mut self,
         segment: &Segment,
@@ -80,7 +80,7 @@
             return self.visit_next(segment, attempted, now);
         }
         if attempted.len() < self.settings.max_search_visits
-            && !self.agents_restart(now)
+            && !self.agents_restart(flow, now)
             && let Some(target) = self.next_candidate(flow, attempted, now)
         {
             return self.visit(segment, target, attempted, now);
@@ -99,10 +99,11 @@
         }
     }
 
-    /// Returns `true` if agents are being restarted, so that a visit may lose the packet.
-    fn agents_restart(&self, now: Instant) -> bool {
+    /// Returns `true` if agents that may hold a flow are being restarted, so that a visit may lose the packet.
+    fn agents_restart(&self, flow: Flow, now: Instant) -> bool {
         let time = self.settings.visit_pause;
-        self.targets.has_agent_started_within(time, now)
+        let mut services = self.routes.candidate_services(flow).into_iter();
+        services.any(|service| self.targets.has_agent_started_within(service, time, now))
     }
 
     /// Sends a packet to the next target that a location query has left undecided, or ends the
--- a/crates/lavenderseam_passthrough/src/balancer/targets.rs
+++ b/crates/lavenderseam_passthrough/src/balancer/targets.rs
@@ -30,8 +30,8 @@
     /// Targets that have become known, or whose agents or backend servers have ended, since they were
     /// last taken.
     restarted: BTreeSet<TargetId>,
-    /// Time at which an agent that has started recently became known.
-    agent_started_at: Option<Instant>,
+    /// Time at which an agent of each service that had started recently became known.
+    agent_started_at: BTreeMap<ServiceId, Instant>,
 }
 
 /// Seed that makes the choice of trial flows independent of the ranking of targets, which hashes
@@ -107,13 +107,20 @@
             .get(&id)
             .is_some_and(|known| known.run == announcement.run);
         if !is_known && announcement.sequence < RECENT_ANNOUNCEMENTS {
-            self.agent_started_at = Some(now);
+            let service = ServiceId::new(&announcement.service);
+            self.agent_started_at.insert(service, now);
         }
     }
 
-    /// Returns `true` if an agent has started within `time`.
-    pub(crate) fn has_agent_started_within(&self, time: Duration, now: Instant) -> bool {
-        self.agent_started_at.is_some_and(|at| now.since(at) < time)
+    /// Returns `true` if an agent of a service has started within `time`.
+    pub(crate) fn has_agent_started_within(
+        &self,
+        service: ServiceId,
+        time: Duration,
+        now: Instant,
+    ) -> bool {
+        let started_at = self.agent_started_at.get(&service);
+        started_at.is_some_and(|at| now.since(*at) < time)
     }
 
     /// Returns the state of all targets, to be sent to other balancers.
