Pause visits only after restarts that the balancer has seen

Cause: all agents had started recently, so that balancers asked all targets for each flow, which costs processor time; a visit finds an owner for two messages. Change: visits pause only after an agent has restarted whose run before was known to the balancer.

--- a/crates/lavenderseam_passthrough/src/balancer/search.rs
+++ b/crates/lavenderseam_passthrough/src/balancer/search.rs
@@ -103,7 +103,7 @@
     fn agents_restart(&self, flow: Flow, now: Instant) -> bool {
         let time = self.settings.visit_pause;
         let mut services = self.routes.candidate_services(flow).into_iter();
-        services.any(|service| self.targets.has_agent_started_within(service, time, now))
+        services.any(|service| self.targets.has_agent_restarted_within(service, time, now))
     }
 
     /// Sends a packet to the next target that a location query has left undecided, or ends the
--- a/crates/lavenderseam_passthrough/src/balancer/settings.rs
+++ b/crates/lavenderseam_passthrough/src/balancer/settings.rs
@@ -80,7 +80,7 @@
     /// asked: enough for a lightly loaded service, whose flows are at the first targets in
     /// rendezvous order.
     pub max_search_visits: usize,
-    /// Time after the start of an agent for which all agents are asked at once: others may be restarted
+    /// Time after the restart of an agent for which all agents are asked at once: others may be restarted
     /// next, and a visit of a target without an agent loses the packet.
     pub visit_pause: Duration,
     /// Time for which flows are gathered for a location query if none was sent recently.
--- a/crates/lavenderseam_passthrough/src/balancer/targets.rs
+++ b/crates/lavenderseam_passthrough/src/balancer/targets.rs
@@ -30,17 +30,14 @@
     /// Targets that have become known, or whose agents or backend servers have ended, since they were
     /// last taken.
     restarted: BTreeSet<TargetId>,
-    /// Time at which an agent of each service that had started recently became known.
-    agent_started_at: BTreeMap<ServiceId, Instant>,
+    /// Time at which an agent of each service was last found to have restarted.
+    agent_restarted_at: BTreeMap<ServiceId, Instant>,
 }
 
 /// Seed that makes the choice of trial flows independent of the ranking of targets, which hashes
 /// the same key.
 const TRIAL_SEED: u64 = 0x5452_4941_4c53;
 
-/// Announcements below which an agent counts as started recently: it sends two to ten a second.
-const RECENT_ANNOUNCEMENTS: u64 = 12;
-
 /// Effect of an announcement on the known targets.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum AnnouncementEffect {
@@ -62,7 +59,7 @@
     ) -> AnnouncementEffect {
         let id = TargetId::new(agent);
         let service = ServiceId::new(&announcement.service);
-        self.record_start(id, announcement, now);
+        self.record_restart(id, announcement, now);
         let Some(existing) = self.by_id.get_mut(&id) else {
             let target = Target::new(agent, announcement, now);
             self.by_id.insert(id, target);
@@ -100,27 +97,24 @@
         }
     }
 
-    /// Records that an agent has started recently, if its run isn't known and has sent few announcements.
-    fn record_start(&mut self, id: TargetId, announcement: &Announcement, now: Instant) {
-        let is_known = self
-            .by_id
-            .get(&id)
-            .is_some_and(|known| known.run == announcement.run);
-        if !is_known && announcement.sequence < RECENT_ANNOUNCEMENTS {
+    /// Records that an agent has restarted, if another run of it is known.
+    fn record_restart(&mut self, id: TargetId, announcement: &Announcement, now: Instant) {
+        let known = self.by_id.get(&id);
+        if known.is_some_and(|known| known.run != announcement.run) {
             let service = ServiceId::new(&announcement.service);
-            self.agent_started_at.insert(service, now);
+            self.agent_restarted_at.insert(service, now);
         }
     }
 
-    /// Returns `true` if an agent of a service has started within `time`.
-    pub(crate) fn has_agent_started_within(
+    /// Returns `true` if an agent of a service has restarted within `time`.
+    pub(crate) fn has_agent_restarted_within(
         &self,
         service: ServiceId,
         time: Duration,
         now: Instant,
     ) -> bool {
-        let started_at = self.agent_started_at.get(&service);
-        started_at.is_some_and(|at| now.since(*at) < time)
+        let restarted_at = self.agent_restarted_at.get(&service);
+        restarted_at.is_some_and(|at| now.since(*at) < time)
     }
 
     /// Returns the state of all targets, to be sent to other balancers.
@@ -143,7 +137,7 @@
             if known.is_some_and(|known| known.last_message_at >= last_message_at) {
                 continue;
             }
-            self.record_start(id, &other.announcement, now);
+            self.record_restart(id, &other.announcement, now);
             let existing = self.by_id.get(&id);
             // Whether this balancer reaches the agent isn't known until it receives a message
             // from the agent itself.
--- a/crates/lavenderseam_passthrough/tests/conclusions.rs
+++ b/crates/lavenderseam_passthrough/tests/conclusions.rs
@@ -73,8 +73,7 @@
         balancer.set_registered_agents(&registered(agents));
         Self {
             balancer,
-            // The agents have run for some time.
-            sequence: 1_000,
+            sequence: 0,
         }
     }
 
--- a/crates/lavenderseam_passthrough/tests/restarting_agents.rs
+++ b/crates/lavenderseam_passthrough/tests/restarting_agents.rs
@@ -75,8 +75,8 @@
     let mut pool = balancer_after_a_restart();
     expect_that!(pool.send(PORT, 720), eq(&Verdict::Hold));
     // The restarts have ended.
-    for index in [1, 2] {
-        pool.announce(index, 2, TargetState::Ready, 5_800);
+    for (index, run) in [(1, 1), (2, 2)] {
+        pool.announce(index, run, TargetState::Ready, 5_800);
     }
     let verdict = pool.send(PORT + 1, 5_801);
     expect_that!(verdict, matches_pattern!(Verdict::Forward { .. }));
--- a/crates/lavenderseam_passthrough/tests/revalidation.rs
+++ b/crates/lavenderseam_passthrough/tests/revalidation.rs
@@ -10,7 +10,7 @@
 use fixture::pool::{Pool, agent_address};
 use fixture::{BACKEND_ISN, at_ms, flow, request};
 use googletest::prelude::*;
-use lavenderseam_passthrough::balancer::{Action, DiscardReason, Verdict};
+use lavenderseam_passthrough::balancer::{Action, DiscardReason, SearchAction, Verdict};
 use lavenderseam_passthrough::message::TargetState;
 
 const NEXT_RUN: u64 = 2;
@@ -60,10 +60,11 @@
         eq(0)
     );
     let sent = pool.send(1, 1_300);
-    expect_that!(
-        pool.deny(1, &sent, 1_301),
-        matches_pattern!(Verdict::Forward { .. })
-    );
+    // While agents are restarted, a search asks all of them at once.
+    expect_that!(pool.deny(1, &sent, 1_301), eq(&Verdict::Hold));
+    let actions = pool.balancer.poll_searches(at_ms(1_310));
+    let is_query = |action: &&SearchAction| matches!(action, SearchAction::Query { .. });
+    expect_that!(actions.iter().filter(is_query).count(), eq(2));
 }
 
 /// A port that is used again belongs to a flow that another target may hold.
