--- a/review/standins_3.py
+++ b/review/standins_3.py
@@ -613,19 +613,21 @@
         # Only planned work happens.
         self.planned = False
 
-    @staticmethod
-    def free_network():
-        """Returns the second byte of loopback addresses whose ports are free."""
+    def free_network(self):
+        """Returns the second byte of loopback addresses whose ports are free, and reserves them for other scripts."""
         for net in random.sample(range(16, 250), 60):
+            reservation = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
             try:
-                for last in (1, 2, 3):
+                reservation.bind((f"127.{net}.200.1", CONTROL))
+                for third, last, port in ((1, 1, DATAGRAM), (1, 1, CONTROL), (2, 1, APP), (2, 1, CONTROL), (9, 1, STORE)):
                     for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
-                        for third in (1, 2, 9):
-                            with socket.socket(socket.AF_INET, kind) as probe:
-                                probe.bind((f"127.{net}.{third}.{last}", CONTROL))
-                return net
+                        with socket.socket(socket.AF_INET, kind) as probe:
+                            probe.bind((f"127.{net}.{third}.{last}", port))
             except OSError:
+                reservation.close()
                 continue
+            self.reservation = reservation
+            return net
         raise OSError("no free loopback network")
 
     def ip(self, third, last):
@@ -740,6 +742,7 @@
             if process.child is not None and process.child.returncode is None:
                 process.child.kill()
                 await process.child.wait()
+        self.reservation.close()
 
     def log_lines(self, *events):
         """Copies lines with these events from the programs' logs into the record."""
