--- a/review/standins_3.py
+++ b/review/standins_3.py
@@ -251,7 +251,7 @@
         self.syn_delay = 0.0
         # Time from the start to the first ping, and between two pings; after one without an ack, if it differs.
         self.first_ping, self.retry = 0.0, 0.1
-        self.boot, self.state = 0, "ready"
+        self.boot, self.state, self.acknowledged, self.next_ping = 0, "ready", None, 0.0
         self.transport = None
         self.disturbed = -1e9
 
@@ -275,6 +275,16 @@
         self.health.close()
         self.transport = None
 
+    async def drain(self, closes_listener):
+        """Says that it leaves; once that is acknowledged, its liveness check fails: by a closed port, or by status 503."""
+        self.record.write(f"target {self.name}: drains")
+        self.state = "draining"
+        while self.acknowledged != "draining":
+            await asyncio.sleep(0.01)
+        if closes_listener:
+            self.health.close()
+        self.record.write(f"target {self.name}: the drain is acknowledged")
+
     def spawn(self, coroutine):
         task = asyncio.ensure_future(coroutine)
         self.tasks.add(task)
@@ -283,7 +293,8 @@
     async def serve_health(self, reader, writer):
         try:
             await read_http(reader)
-            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
+            status = "200 OK" if self.state == "ready" else "503 Leaving"
+            writer.write(f"HTTP/1.1 {status}\r\nContent-Length: 0\r\nConnection: close\r\n\r\n".encode())
             await writer.drain()
         except (OSError, asyncio.IncompleteReadError):
             pass
@@ -299,8 +310,12 @@
                 "concurrency": 9, "state": self.state, "warmupLeftMs": 0, "sequence": self.pings, "born": self.born,
             }
             status = await http_call((self.ip, CONTROL), "POST", f"/Instances.Heartbeat/{self.name}", body)
-            self.record.write(f"target {self.name}: boot {self.boot} ping {self.pings}: {status}")
-            await asyncio.sleep(HEARTBEAT_S if status == 200 else self.retry)
+            self.record.write(f"target {self.name}: boot {self.boot} ping {self.pings}, {body['state']}: {status}")
+            if status == 200:
+                self.acknowledged = body["state"]
+            pause = HEARTBEAT_S if status == 200 else self.retry
+            self.next_ping = self.record.now() + pause
+            await asyncio.sleep(pause)
 
     def send(self, packet):
         if self.transport is not None:
@@ -398,11 +413,13 @@
             f"HTTP/1.1 200 OK\r\nX-Server-Seal: {self.name}\r\nX-Attempt-Id: {attempt}\r\n"
             f"Content-Length: {len(body)}\r\n\r\n".encode() + body
         )
+        # A target that is draining closes each flow after its next response.
+        last = FIN if self.state == "draining" else 0
         start = state["sent"]
-        state["sent"] = end = u32(start + len(data))
+        state["sent"] = end = u32(start + len(data) + (1 if last else 0))
         wait = 0.2
         for _ in range(9):
-            self.send(Packet(flow[1], flow[0], ACK, start, state["next"], data))
+            self.send(Packet(flow[1], flow[0], ACK | last, start, state["next"], data))
             await asyncio.sleep(wait)
             wait = min(wait * 2, 1.6)
             if u32(state["acked"] - end) < 0x80000000:
@@ -438,7 +455,7 @@
     def __init__(self, client, address, service_address, label):
         self.client, self.deployment, self.record = client, client.deployment, client.deployment.record
         self.address, self.service, self.label = address, service_address, label
-        self.is_open, self.is_reset = False, False
+        self.is_open, self.is_reset, self.closes = False, False, False
         self.next, self.last_ack, self.peer_acked = 1, 0, 1
         self.buffer, self.changed = b"", asyncio.Event()
 
@@ -479,8 +496,10 @@
             if packet.data and packet.seq == self.last_ack:
                 self.last_ack = u32(packet.seq + len(packet.data))
                 self.buffer += packet.data
+                if packet.flags & FIN:
+                    self.last_ack, self.closes = u32(self.last_ack + 1), True
             if packet.data:
-                self.send(ACK, self.next, self.last_ack)
+                self.send(ACK | (FIN if self.closes else 0), self.next, self.last_ack)
         self.changed.set()
 
     async def wait(self, seconds, condition):
