Name the balancer that agreed in the premises of a reset

The log of such a reset told that another balancer had agreed, but not which one, so it couldn't be told whether a balancer of before had agreed too early, or one that had just started itself.

--- a/crates/lavenderseam_passthrough/src/balancer/certainty.rs
+++ b/crates/lavenderseam_passthrough/src/balancer/certainty.rs
@@ -11,12 +11,14 @@
 //! - Registrations are those at the start of the balancer. An agent that is marked as silent counts
 //!   as failed, but another balancer that hears it knows one target more and doesn't agree.
 
+use std::net::SocketAddrV4;
 use std::time::Duration;
 
 use lavenderseam_core::time::Instant;
 use serde::Serialize;
 
 use super::Balancer;
+use super::peers::Agreement;
 use super::registrations::Completeness;
 
 /// State of the premises, with their ages; written to the log with each reset that rests on them.
@@ -29,6 +31,8 @@
     /// Time since another balancer last knew the same targets, in milliseconds; `None` if it
     /// hasn't.
     pub agreed_ms: Option<u64>,
+    /// Balancer that knew the same targets then.
+    pub agreed_by: Option<SocketAddrV4>,
     /// Registered agents; `None` if the registrations aren't known.
     pub registered: Option<usize>,
     /// Registered agents that the balancer hasn't heard from, without those that are marked as
@@ -48,12 +52,13 @@
         let heard = self
             .registrations
             .heard(&self.targets, &self.settings, running_since, now);
-        let agreed_at = self.agreed_at(running_since);
+        let agreement = self.agreement(running_since);
         let milliseconds = |duration: Duration| duration.as_millis() as u64;
         Premises {
             uptime_ms: milliseconds(now.since(running_since)),
             targets: self.targets.iter().count(),
-            agreed_ms: agreed_at.map(|agreed_at| milliseconds(now.since(agreed_at))),
+            agreed_ms: agreement.map(|agreement| milliseconds(now.since(agreement.at))),
+            agreed_by: agreement.map(|agreement| agreement.from),
             registered: heard.map(|heard| heard.registered),
             missing: heard.map_or(0, |heard| heard.missing),
             silent: heard.map_or(0, |heard| heard.silent),
@@ -85,8 +90,8 @@
             .min_uptime(&self.settings);
         let uptime = now.since(running_since);
         let agreed = self
-            .agreed_at(running_since)
-            .is_some_and(|agreed_at| now.since(agreed_at) < self.settings.agreement_lifetime);
+            .agreement(running_since)
+            .is_some_and(|agreement| now.since(agreement.at) < self.settings.agreement_lifetime);
         (agreed && uptime >= min_uptime)
             || (self.peers.is_empty() && uptime >= self.settings.min_uptime_alone)
     }
@@ -105,9 +110,9 @@
             .completeness(&self.targets, &self.settings, running_since, now)
     }
 
-    /// Returns the time since the start at which another balancer last knew the same targets.
-    fn agreed_at(&self, running_since: Instant) -> Option<Instant> {
-        let agreed_at = self.peers.last_agreement(self.targets.digest())?;
-        (agreed_at >= running_since).then_some(agreed_at)
+    /// Returns the last agreement of another balancer since the start that knew the same targets.
+    fn agreement(&self, running_since: Instant) -> Option<Agreement> {
+        let agreement = self.peers.last_agreement(self.targets.digest())?;
+        (agreement.at >= running_since).then_some(agreement)
     }
 }
--- a/crates/lavenderseam_passthrough/src/balancer/mod.rs
+++ b/crates/lavenderseam_passthrough/src/balancer/mod.rs
@@ -313,7 +313,7 @@
         self.peers
             .on_gossip(from, gossip, self.identity.address, now);
         let own = self.gossip(now);
-        self.peers.compare_records(gossip, &own, now);
+        self.peers.compare_records(from, gossip, &own, now);
     }
 
     /// Adds the address of another balancer.
--- a/crates/lavenderseam_passthrough/src/balancer/peers.rs
+++ b/crates/lavenderseam_passthrough/src/balancer/peers.rs
@@ -54,9 +54,17 @@
     newcomers: BTreeSet<SocketAddrV4>,
     last_gossip: Option<Instant>,
     divergent: Option<DivergentPeer>,
-    /// Digests of the targets that other balancers know, with the time of the last gossip that
-    /// named each.
-    digests: BTreeMap<u64, Instant>,
+    /// Digests of the targets that other balancers know, with the last gossip that named each.
+    digests: BTreeMap<u64, Agreement>,
+}
+
+/// Gossip that named a digest of targets.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Agreement {
+    /// Balancer that sent it.
+    pub(crate) from: SocketAddrV4,
+    /// Time at which it arrived.
+    pub(crate) at: Instant,
 }
 
 /// A balancer whose records differ from those held here.
@@ -143,6 +151,7 @@
     /// Compares the records of another balancer with those held here (`own`).
     pub(crate) fn compare_records(
         &mut self,
+        from: SocketAddrV4,
         gossip: &RecordVersions,
         own: &RecordVersions,
         now: Instant,
@@ -154,7 +163,7 @@
         let digest = gossip.targets_digest;
         let knows_other_targets = digest != INCOMPLETE_TARGETS && digest != own.targets_digest;
         if digest != INCOMPLETE_TARGETS {
-            self.digests.insert(digest, now);
+            self.digests.insert(digest, Agreement { from, at: now });
         }
         let differs = newer || other_epoch || knows_other_targets;
         if !differs {
@@ -176,15 +185,16 @@
         Some(divergent.rpc)
     }
 
-    /// Returns the time of the last gossip of a balancer that knows all targets, and whose targets
-    /// have this digest.
-    pub(crate) fn last_agreement(&self, targets_digest: u64) -> Option<Instant> {
+    /// Returns the last gossip of a balancer that knows all targets, and whose targets have this
+    /// digest.
+    pub(crate) fn last_agreement(&self, targets_digest: u64) -> Option<Agreement> {
         self.digests.get(&targets_digest).copied()
     }
 
     /// Removes digests that were last named `max_age` ago.
     pub(crate) fn expire_digests(&mut self, max_age: Duration, now: Instant) {
-        self.digests.retain(|_, at| now.since(*at) < max_age);
+        self.digests
+            .retain(|_, agreement| now.since(agreement.at) < max_age);
     }
 
     /// Returns the time at which the last gossip of another balancer arrived.
