Ask all balancers that run before a flow is reset as unowned

A request that may not be repeated was lost.

Cause: a balancer that concludes that no target holds a flow must know all targets, and took the agreement of any other balancer for that, by gossip of the last 3 s. Two added balancers list the same registrations, before the agent of the new target has registered, and agree on the targets that both lack. The false premise: whoever agrees knew all targets when it answered.

Change: the balancer that opened a flow knows its target. Once all known targets have denied a flow, every other balancer that runs is asked which targets it knows, and each must name the same ones. A question is sent after the agents were asked, and its answer repeats its number, so no answer is older than the flow. One balancer that differs or doesn't answer prevents the reset; the packets are held meanwhile. This holds for the ends of queries, visits and verifications alike.

Three tests of `conclusions` followed the agreement by gossip and follow the questions now: they ask for the same resets, and for none before the answers.

--- a/crates/lavenderseam_node/src/balancer/driver.rs
+++ b/crates/lavenderseam_node/src/balancer/driver.rs
@@ -262,6 +262,13 @@
                     self.process
                         .send(&Message::LocationQuery(query), &[], agent);
                 }
+                SearchAction::AskBalancer { balancer, query } => {
+                    self.process.metrics.targets_queries.inc();
+                    let query = Message::TargetsQuery(query);
+                    self.process.send(&query, &[], balancer);
+                    // The task that runs the searches repeats lost queries.
+                    self.search_started.notify_one();
+                }
                 SearchAction::Verify { flow, agents } => self.send_verifications(flow, &agents),
                 SearchAction::Resolve { flow, resolution } => {
                     self.release_packets(flow, resolution, now);
@@ -363,6 +370,20 @@
                 self.balancer.borrow_mut().on_gossip(&gossip, from, now);
             }
             Message::LocationReply(reply) => self.handle_location_reply(&reply, from, now),
+            Message::TargetsQuery(query) => {
+                let reply = self
+                    .balancer
+                    .borrow_mut()
+                    .on_targets_query(query, from, now);
+                self.process.send(&Message::TargetsReply(reply), &[], from);
+            }
+            Message::TargetsReply(reply) => {
+                let actions = {
+                    let mut balancer = self.balancer.borrow_mut();
+                    balancer.on_targets_reply(&reply, from, now)
+                };
+                self.apply_search_actions(actions, now);
+            }
             Message::FlowReport(report) => {
                 let mut balancer = self.balancer.borrow_mut();
                 balancer.on_flow_report(&report, from, now);
--- a/crates/lavenderseam_node/src/metrics.rs
+++ b/crates/lavenderseam_node/src/metrics.rs
@@ -70,6 +70,8 @@
     pub held: Counter,
     /// Number of location queries that a balancer sent to agents, or an agent answered.
     pub location_queries: Counter,
+    /// Number of questions to other balancers about the targets that they know.
+    pub targets_queries: Counter,
     /// Number of copies of packets that a balancer sent to agents, or an agent received, to verify
     /// their flows.
     pub verifications: Counter,
@@ -135,6 +137,12 @@
             "Queries for the owners of flows",
             self.location_queries.clone(),
         );
+        let targets_queries = self.targets_queries.clone();
+        registry.register(
+            "targets_queries",
+            "Questions to balancers about their targets",
+            targets_queries,
+        );
         let verifications = self.verifications.clone();
         registry.register("verifications", "Copies to verify flows", verifications);
         registry.register("malformed", "Unreadable input", self.malformed.clone());
--- a/crates/lavenderseam_passthrough/src/balancer/certainty.rs
+++ b/crates/lavenderseam_passthrough/src/balancer/certainty.rs
@@ -1,24 +1,24 @@
 //! Premises from which a balancer concludes that no target holds a flow.
 //!
 //! Every target that may hold flows must have denied the flow since the search began, and the
-//! balancer must know all targets. It knows them all if another balancer knows the same ones and
-//! this one has heard from all registered agents, or has run for long enough:
+//! balancer must know all targets:
 //!
 //! - A denial covers only the targets that were asked. A target that becomes known, or whose backend
 //!   server runs again, makes the denials so far incomplete.
-//! - Another balancer must have named the digest of the targets that are known now, not of fewer.
-//!   One that has just started names none: it may have heard from as few agents.
-//! - Registrations are those at the start of the balancer. An agent that is marked as silent counts
-//!   as failed, but another balancer that hears it knows one target more and doesn't agree.
+//! - Every other balancer that runs must have named the digest of the targets that are known now, since
+//!   the agents were asked ([`agreement`](super::agreement)). One of them may have opened the flow, at
+//!   a target that the others haven't heard from yet. At least one must take these targets for all that
+//!   exist: it has heard from all registered agents, or has run for some time.
+//! - The balancer itself must have heard from all registered agents, or have run for long enough.
+//!   Registrations are those at the start of the balancer. An agent that is marked as silent counts as
+//!   failed, but another balancer that hears it knows one target more and doesn't agree.
 
-use std::net::SocketAddrV4;
 use std::time::Duration;
 
 use lavenderseam_core::time::Instant;
 use serde::Serialize;
 
 use super::Balancer;
-use super::peers::Agreement;
 use super::registrations::Completeness;
 
 /// State of the premises, with their ages; written to the log with each reset that rests on them.
@@ -28,11 +28,15 @@
     pub uptime_ms: u64,
     /// Targets that the balancer knows.
     pub targets: usize,
-    /// Time since another balancer last knew the same targets, in milliseconds; `None` if it
-    /// hasn't.
+    /// Other balancers that run and knew the same targets when they were asked last.
+    pub agreeing: usize,
+    /// Other balancers that run and knew other targets.
+    pub differing: usize,
+    /// Other balancers that run and haven't answered.
+    pub unanswered: usize,
+    /// Time since the oldest question was sent whose answer agrees, in milliseconds; `None` if none
+    /// does.
     pub agreed_ms: Option<u64>,
-    /// Balancer that knew the same targets then.
-    pub agreed_by: Option<SocketAddrV4>,
     /// Registered agents; `None` if the registrations aren't known.
     pub registered: Option<usize>,
     /// Registered agents that the balancer hasn't heard from, without those that are marked as
@@ -52,48 +56,61 @@
         let heard = self
             .registrations
             .heard(&self.targets, &self.settings, running_since, now);
-        let agreement = self.agreement(running_since);
+        let opinions = self.opinions(now);
         let milliseconds = |duration: Duration| duration.as_millis() as u64;
         Premises {
             uptime_ms: milliseconds(now.since(running_since)),
             targets: self.targets.iter().count(),
-            agreed_ms: agreement.map(|agreement| milliseconds(now.since(agreement.at))),
-            agreed_by: agreement.map(|agreement| agreement.from),
+            agreeing: opinions.agreeing,
+            differing: opinions.differing,
+            unanswered: opinions.unanswered,
+            agreed_ms: opinions
+                .oldest()
+                .map(|asked_at| milliseconds(now.since(asked_at))),
             registered: heard.map(|heard| heard.registered),
             missing: heard.map_or(0, |heard| heard.missing),
             silent: heard.map_or(0, |heard| heard.silent),
-            certain: self.knows_all_targets(now),
+            certain: self.knows_all_targets_since(now).is_some(),
         }
     }
 
-    /// Returns `true` if targets may still announce themselves for the first time.
-    pub(super) fn is_starting(&self, now: Instant) -> bool {
-        let uptime = self
-            .running_since
-            .map(|running_since| now.since(running_since));
-        let long_enough = uptime.is_some_and(|uptime| uptime >= self.settings.min_uptime_alone);
-        !long_enough && !self.knows_all_targets(now)
-    }
-
-    /// Returns `true` if the balancer knows every target.
+    /// Returns `true` if targets may still announce themselves for the first time, so that a new flow
+    /// isn't rejected yet.
     ///
-    /// Another balancer must have reported recently that it knows the same targets as this one does
-    /// now. Besides, the balancer must have received a message from each registered agent that may
-    /// run, or the process must have run for some time, which is longer while many registered agents
-    /// are missing.
-    pub(super) fn knows_all_targets(&self, now: Instant) -> bool {
+    /// A rejected flow was never open, so recent gossip of one other balancer is enough here.
+    pub(super) fn is_starting(&self, now: Instant) -> bool {
         let Some(running_since) = self.running_since else {
+            return true;
+        };
+        if now.since(running_since) >= self.settings.min_uptime_alone {
             return false;
+        }
+        let agreed_at = self.peers.last_agreement(self.targets.digest());
+        let is_recent = |agreed_at: Instant| {
+            agreed_at >= running_since && now.since(agreed_at) < self.settings.agreement_lifetime
         };
-        let min_uptime = self
-            .completeness(running_since, now)
-            .min_uptime(&self.settings);
-        let uptime = now.since(running_since);
-        let agreed = self
-            .agreement(running_since)
-            .is_some_and(|agreement| now.since(agreement.at) < self.settings.agreement_lifetime);
-        (agreed && uptime >= min_uptime)
-            || (self.peers.is_empty() && uptime >= self.settings.min_uptime_alone)
+        let has_agreement = agreed_at.is_some_and(is_recent);
+        !has_agreement || !self.may_conclude(now)
+    }
+
+    /// Returns the time since which the balancer has known the target of each flow that was open then;
+    /// `None` if it may not know all targets.
+    pub(super) fn knows_all_targets_since(&self, now: Instant) -> Option<Instant> {
+        if self.peers.is_empty() {
+            let uptime = now.since(self.running_since?);
+            return (uptime >= self.settings.min_uptime_alone).then_some(now);
+        }
+        let agreed_since = self.opinions(now).agreed_since();
+        agreed_since.filter(|_| self.may_conclude(now))
+    }
+
+    /// Returns `true` if the balancer has heard from all registered agents that may run, or has run for
+    /// some time, which is longer while many registered agents are missing.
+    pub(super) fn may_conclude(&self, now: Instant) -> bool {
+        self.running_since.is_some_and(|running_since| {
+            let completeness = self.completeness(running_since, now);
+            now.since(running_since) >= completeness.min_uptime(&self.settings)
+        })
     }
 
     /// Returns `true` if another balancer may take the targets known here for all that exist.
@@ -109,10 +126,4 @@
         self.registrations
             .completeness(&self.targets, &self.settings, running_since, now)
     }
-
-    /// Returns the last agreement of another balancer since the start that knew the same targets.
-    fn agreement(&self, running_since: Instant) -> Option<Agreement> {
-        let agreement = self.peers.last_agreement(self.targets.digest())?;
-        (agreement.at >= running_since).then_some(agreement)
-    }
 }
--- a/crates/lavenderseam_passthrough/src/balancer/conclusion.rs
+++ b/crates/lavenderseam_passthrough/src/balancer/conclusion.rs
@@ -2,6 +2,7 @@
 
 use lavenderseam_core::time::Instant;
 
+use super::agreement::QUESTION_INTERVAL;
 use super::cache::{CacheEntry, OwnerState};
 use super::searches::Phase;
 use super::{Balancer, DiscardReason, Resolution, SearchAction};
@@ -15,8 +16,8 @@
     Unowned,
     /// A target that hasn't answered, or isn't known to this balancer, may hold the flow.
     Undecided,
-    /// Targets have become known that weren't asked, so the flow is part of the next queries.
-    AskAgain,
+    /// Targets that weren't asked, or other balancers, are asked before the search ends.
+    Waits,
 }
 
 impl Balancer {
@@ -48,16 +49,29 @@
                 }
             )
         });
-        if denied_by_all && !self.covers_all_targets(flow) {
+        if !denied_by_all {
+            self.searches.remove(flow);
+            return VisitEnd::Undecided;
+        }
+        if !self.covers_all_targets(flow) {
             self.searches.wait_for_query(flow);
-            return VisitEnd::AskAgain;
+            return VisitEnd::Waits;
         }
-        self.searches.remove(flow);
-        if denied_by_all && self.knows_all_targets(now) {
-            VisitEnd::Unowned
-        } else {
-            VisitEnd::Undecided
+        if !self.knows_target_of(flow, now) {
+            self.searches.wait_for_agreement(flow, now);
+            return VisitEnd::Waits;
         }
+        self.searches.remove(flow);
+        VisitEnd::Unowned
+    }
+
+    /// Returns `true` if the balancer knows the target of a flow that it searches for, if there is one.
+    ///
+    /// The flow was opened before the last query about it was sent.
+    fn knows_target_of(&self, flow: Flow, now: Instant) -> bool {
+        let search = self.searches.by_flow.get(&flow);
+        let known_since = self.knows_all_targets_since(now);
+        search.is_some_and(|search| known_since.is_some_and(|since| search.queried_at <= since))
     }
 
     /// Returns `true` if the last query about a flow was sent to all targets known now that may hold
@@ -89,25 +103,14 @@
         flow: Flow,
         mut remaining: Vec<TargetId>,
         now: Instant,
-    ) -> Option<SearchAction> {
+        actions: &mut Vec<SearchAction>,
+    ) {
         if remaining.is_empty() {
-            if !self.covers_all_targets(flow) {
-                self.searches.wait_for_query(flow);
-                return None;
-            }
-            if self.knows_all_targets(now) {
-                let reset = Resolution::Reset(DiscardReason::Unowned);
-                return Some(self.end_search(flow, reset));
-            }
-            if let Some(search) = self.searches.by_flow.get_mut(&flow) {
-                search.phase = Phase::Uncertain { since: now };
-                self.searches.uncertain.push(flow);
-            }
-            return None;
+            self.searches.wait_for_agreement(flow, now);
+            return self.reconsider_uncertain(now, actions);
         }
         if self.may_answer_soon(flow, &remaining, now) {
-            self.searches.wait_for_query(flow);
-            return None;
+            return self.searches.wait_for_query(flow);
         }
         // Visits take the last target first.
         let heard_at = |id: &TargetId| {
@@ -121,7 +124,7 @@
                 is_undecided: false,
             };
         }
-        Some(SearchAction::resolve(flow, Resolution::Resume))
+        actions.push(SearchAction::resolve(flow, Resolution::Resume));
     }
 
     /// Returns `true` if an agent that hasn't told whether its target holds a flow was heard so recently that it
@@ -139,33 +142,43 @@
         search.is_some_and(|search| is_recent(search.started_at)) && undecided.iter().any(was_heard)
     }
 
-    /// Asks about uncertain flows again once this balancer knows all targets, and gives up those
-    /// that have waited for too long.
+    /// Ends the searches for uncertain flows once this balancer knows all targets, and gives up those
+    /// that have waited for too long; asks the other balancers about the rest.
     pub(super) fn reconsider_uncertain(&mut self, now: Instant, actions: &mut Vec<SearchAction>) {
         if self.searches.uncertain.is_empty() {
             return;
         }
-        self.searches.uncertain_checked_at = now;
-        if self.knows_all_targets(now) {
-            for flow in std::mem::take(&mut self.searches.uncertain) {
-                self.searches.wait_for_query(flow);
-            }
-            return;
-        }
+        self.searches.reconsider_at = now + QUESTION_INTERVAL;
+        let known_since = self.knows_all_targets_since(now);
         let timeout = self.settings.uncertain_timeout;
-        let uncertain = std::mem::take(&mut self.searches.uncertain);
-        for flow in uncertain {
-            let since = match self.searches.by_flow.get(&flow).map(|search| &search.phase) {
-                Some(Phase::Uncertain { since }) => *since,
-                _ => continue,
+        let mut last_query: Option<Instant> = None;
+        for flow in std::mem::take(&mut self.searches.uncertain) {
+            let Some(search) = self.searches.by_flow.get(&flow) else {
+                continue;
             };
-            if now.since(since) < timeout {
-                self.searches.uncertain.push(flow);
-            } else {
+            let (Phase::Uncertain { since }, queried_at) = (&search.phase, search.queried_at)
+            else {
+                continue;
+            };
+            let has_expired = now.since(*since) >= timeout;
+            if !self.covers_all_targets(flow) {
+                self.searches.wait_for_query(flow);
+            } else if known_since.is_some_and(|known_since| queried_at <= known_since) {
+                let reset = Resolution::Reset(DiscardReason::Unowned);
+                actions.push(self.end_search(flow, reset));
+            } else if has_expired {
                 let drop = Resolution::Drop(DiscardReason::Unowned);
                 actions.push(self.end_search(flow, drop));
+            } else {
+                self.searches.uncertain.push(flow);
+                last_query = last_query.max(Some(queried_at));
             }
         }
+        if let Some(last_query) = last_query
+            && self.may_conclude(now)
+        {
+            self.ask_balancers(last_query, now, actions);
+        }
     }
 
     /// Ends the search for a flow whose owner wasn't found, unless another packet of the flow has
--- a/crates/lavenderseam_passthrough/src/balancer/location.rs
+++ b/crates/lavenderseam_passthrough/src/balancer/location.rs
@@ -16,7 +16,7 @@
 
 use lavenderseam_core::time::Instant;
 
-use super::searches::{PendingQuery, Phase, UNCERTAIN_POLL_INTERVAL, Verification};
+use super::searches::{PendingQuery, Phase, Verification};
 use super::target::Target;
 use super::{Balancer, DiscardReason, Resolution, SearchAction};
 use crate::flow::Flow;
@@ -40,8 +40,7 @@
         let sent_at = verifying.filter_map(|flow| self.searches.verification_sent_at(*flow));
         let repetition_at = sent_at.map(|sent_at| sent_at + interval).min();
         let has_uncertain = !self.searches.uncertain.is_empty();
-        let reconsider_at = self.searches.uncertain_checked_at + UNCERTAIN_POLL_INTERVAL;
-        let reconsider_at = has_uncertain.then_some(reconsider_at);
+        let reconsider_at = has_uncertain.then_some(self.searches.reconsider_at);
         let revalidation_at = self.revalidations.next_at(interval);
         retry_at
             .into_iter()
@@ -147,6 +146,7 @@
         for flow in &flows {
             if let Some(search) = self.searches.by_flow.get_mut(flow) {
                 search.additions = self.targets.additions();
+                search.queried_at = now;
                 search.phase = Phase::Asked {
                     query: number,
                     unverified: Vec::new(),
@@ -262,7 +262,7 @@
             };
             let awaited = std::mem::take(unverified);
             if awaited.is_empty() {
-                actions.extend(self.visit_or_end(flow, undecided.clone(), now));
+                self.visit_or_end(flow, undecided.clone(), now, actions);
                 continue;
             }
             let verification = Verification {
--- a/crates/lavenderseam_passthrough/src/balancer/mod.rs
+++ b/crates/lavenderseam_passthrough/src/balancer/mod.rs
@@ -10,6 +10,7 @@
 //! server that held the flow has terminated. All other cases are left to the caller's
 //! retransmission.
 
+mod agreement;
 mod cache;
 mod certainty;
 mod checkpoint;
@@ -47,6 +48,7 @@
     ServiceId, TargetId, TargetSnapshot,
 };
 use crate::segment::Segment;
+use agreement::Agreements;
 use cache::FlowCache;
 pub use certainty::Premises;
 use checkpoint::Checkpoints;
@@ -168,6 +170,7 @@
     revalidations: Revalidations,
     checkpoints: Checkpoints,
     peers: Peers,
+    agreements: Agreements,
     last_gossip: Instant,
     /// `true` if the last gossip told the others which targets are known here.
     offered_targets: bool,
@@ -201,6 +204,7 @@
             revalidations: Revalidations::default(),
             checkpoints: Checkpoints::default(),
             peers: Peers::default(),
+            agreements: Agreements::default(),
             last_gossip: Instant::default(),
             offered_targets: false,
             registrations: Registrations::default(),
@@ -313,7 +317,7 @@
         self.peers
             .on_gossip(from, gossip, self.identity.address, now);
         let own = self.gossip(now);
-        self.peers.compare_records(from, gossip, &own, now);
+        self.peers.compare_records(gossip, &own, now);
     }
 
     /// Adds the address of another balancer.
--- a/crates/lavenderseam_passthrough/src/balancer/peers.rs
+++ b/crates/lavenderseam_passthrough/src/balancer/peers.rs
@@ -54,17 +54,9 @@
     newcomers: BTreeSet<SocketAddrV4>,
     last_gossip: Option<Instant>,
     divergent: Option<DivergentPeer>,
-    /// Digests of the targets that other balancers know, with the last gossip that named each.
-    digests: BTreeMap<u64, Agreement>,
-}
-
-/// Gossip that named a digest of targets.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) struct Agreement {
-    /// Balancer that sent it.
-    pub(crate) from: SocketAddrV4,
-    /// Time at which it arrived.
-    pub(crate) at: Instant,
+    /// Digests of the targets that other balancers know, with the time of the last gossip that
+    /// named each.
+    digests: BTreeMap<u64, Instant>,
 }
 
 /// A balancer whose records differ from those held here.
@@ -128,6 +120,14 @@
         self.peers.insert(peer, named);
     }
 
+    /// Records a message of another balancer.
+    pub(crate) fn on_message(&mut self, from: SocketAddrV4, now: Instant) {
+        self.insert(from, now);
+        if let Some(sender) = self.peers.get_mut(&from) {
+            sender.last_message_at = Some(now);
+        }
+    }
+
     /// Records gossip from another balancer, and the balancers that it names; `own` is the address
     /// of this balancer.
     pub(crate) fn on_gossip(
@@ -138,10 +138,7 @@
         now: Instant,
     ) {
         self.last_gossip = Some(now);
-        self.insert(from, now);
-        if let Some(sender) = self.peers.get_mut(&from) {
-            sender.last_message_at = Some(now);
-        }
+        self.on_message(from, now);
         let is_third = |peer: &&SocketAddrV4| **peer != own && **peer != from;
         for peer in gossip.balancers.iter().filter(is_third) {
             self.insert_named(*peer, now);
@@ -151,7 +148,6 @@
     /// Compares the records of another balancer with those held here (`own`).
     pub(crate) fn compare_records(
         &mut self,
-        from: SocketAddrV4,
         gossip: &RecordVersions,
         own: &RecordVersions,
         now: Instant,
@@ -163,7 +159,7 @@
         let digest = gossip.targets_digest;
         let knows_other_targets = digest != INCOMPLETE_TARGETS && digest != own.targets_digest;
         if digest != INCOMPLETE_TARGETS {
-            self.digests.insert(digest, Agreement { from, at: now });
+            self.digests.insert(digest, now);
         }
         let differs = newer || other_epoch || knows_other_targets;
         if !differs {
@@ -185,16 +181,15 @@
         Some(divergent.rpc)
     }
 
-    /// Returns the last gossip of a balancer that knows all targets, and whose targets have this
-    /// digest.
-    pub(crate) fn last_agreement(&self, targets_digest: u64) -> Option<Agreement> {
+    /// Returns the time of the last gossip of a balancer that knows all targets, and whose targets
+    /// have this digest.
+    pub(crate) fn last_agreement(&self, targets_digest: u64) -> Option<Instant> {
         self.digests.get(&targets_digest).copied()
     }
 
     /// Removes digests that were last named `max_age` ago.
     pub(crate) fn expire_digests(&mut self, max_age: Duration, now: Instant) {
-        self.digests
-            .retain(|_, agreement| now.since(agreement.at) < max_age);
+        self.digests.retain(|_, at| now.since(*at) < max_age);
     }
 
     /// Returns the time at which the last gossip of another balancer arrived.
@@ -257,8 +252,7 @@
     /// Returns the addresses of the balancers that seem to run: they have sent a message lately, or have
     /// registered just now.
     pub(crate) fn running(&self, now: Instant) -> impl Iterator<Item = SocketAddrV4> + Clone {
-        // Each balancer sends gossip to each other one once in a rotation.
-        let silence = (self.rotation * MAX_MISSED_ROTATIONS).max(MIN_SILENCE);
+        let silence = self.silence();
         let running = self
             .peers
             .iter()
@@ -266,6 +260,28 @@
         running.map(|(address, _)| *address)
     }
 
+    /// Returns the addresses of the balancers that may have opened flows: they have sent a message
+    /// lately, or have become known within `unheard_time` and may not have sent any yet.
+    pub(crate) fn awaited(
+        &self,
+        unheard_time: Duration,
+        now: Instant,
+    ) -> impl Iterator<Item = SocketAddrV4> {
+        let silence = self.silence();
+        let is_awaited = move |peer: &Peer| match peer.last_message_at {
+            Some(at) => now.since(at) < silence,
+            None => now.since(peer.known_since) < unheard_time,
+        };
+        let awaited = self.peers.iter().filter(move |(_, peer)| is_awaited(peer));
+        awaited.map(|(address, _)| *address)
+    }
+
+    /// Returns the time without a message after which a balancer no longer counts as running.
+    fn silence(&self) -> Duration {
+        // Each balancer sends gossip to each other one once in a rotation.
+        (self.rotation * MAX_MISSED_ROTATIONS).max(MIN_SILENCE)
+    }
+
     /// Returns the addresses of up to `limit` balancers that seem to run, others after each round of
     /// gossip.
     pub(crate) fn named(
--- a/crates/lavenderseam_passthrough/src/balancer/resolution.rs
+++ b/crates/lavenderseam_passthrough/src/balancer/resolution.rs
@@ -5,7 +5,7 @@
 
 use super::{DiscardReason, Verdict};
 use crate::flow::Flow;
-use crate::message::LocationQuery;
+use crate::message::{LocationQuery, TargetsQuery};
 use crate::segment::Segment;
 
 /// Action that the search for the owners of flows requests.
@@ -18,6 +18,13 @@
         /// Query to send.
         query: LocationQuery,
     },
+    /// Ask another balancer which targets it knows.
+    AskBalancer {
+        /// Balancer to ask.
+        balancer: SocketAddrV4,
+        /// Query to send.
+        query: TargetsQuery,
+    },
     /// Send a copy of the flow's most recent held packet to agents for verification.
     Verify {
         /// Flow to verify.
--- a/crates/lavenderseam_passthrough/src/balancer/search.rs
+++ b/crates/lavenderseam_passthrough/src/balancer/search.rs
@@ -126,7 +126,7 @@
         match self.end_visits(flow, now) {
             VisitEnd::Unowned if !segment.flags.rst => Verdict::Reset(DiscardReason::Unowned),
             VisitEnd::Unowned | VisitEnd::Undecided => Verdict::Drop(DiscardReason::Unowned),
-            VisitEnd::AskAgain => {
+            VisitEnd::Waits => {
                 self.searches.on_packet(segment);
                 Verdict::Hold
             }
--- a/crates/lavenderseam_passthrough/src/balancer/searches.rs
+++ b/crates/lavenderseam_passthrough/src/balancer/searches.rs
@@ -12,9 +12,6 @@
 use crate::message::TargetId;
 use crate::segment::Segment;
 
-/// Time between checks whether the balancer knows all targets by now.
-pub(super) const UNCERTAIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
-
 /// Search for the owner of one flow.
 #[derive(Clone, Debug)]
 pub(super) struct Search {
@@ -22,6 +19,8 @@
     pub(super) acknowledgment: Option<u32>,
     pub(super) phase: Phase,
     pub(super) started_at: Instant,
+    /// Time at which the last query about the flow was sent.
+    pub(super) queried_at: Instant,
     /// Value of [`Targets::additions`](super::targets::Targets::additions) when the last query about
     /// the flow was sent.
     pub(super) additions: u64,
@@ -40,7 +39,7 @@
         /// Targets that can't tell without the packet whether they hold the flow.
         unverified: Vec<TargetId>,
     },
-    /// Every known target has denied the flow, but this balancer may not know all targets yet.
+    /// Every known target has denied the flow, but this balancer may not know all targets.
     Uncertain { since: Instant },
     /// A copy of a packet is sent to the targets that can't tell otherwise.
     Verifying(Verification),
@@ -93,7 +92,8 @@
     pub(super) next_queries_at: Instant,
     /// Flows whose search is uncertain.
     pub(super) uncertain: Vec<Flow>,
-    pub(super) uncertain_checked_at: Instant,
+    /// Time at which the uncertain flows are reconsidered.
+    pub(super) reconsider_at: Instant,
     /// Flows that wait for their verification.
     pub(super) unverified: VecDeque<Flow>,
     /// Flows that are being verified.
@@ -140,6 +140,7 @@
             acknowledgment: segment.acknowledged(),
             phase: Phase::Waiting,
             started_at: now,
+            queried_at: now,
             additions: 0,
             denied: Vec::new(),
         };
@@ -168,6 +169,15 @@
         }
     }
 
+    /// Keeps a flow that every known target has denied until the balancer knows all targets.
+    pub(super) fn wait_for_agreement(&mut self, flow: Flow, now: Instant) {
+        if let Some(search) = self.by_flow.get_mut(&flow) {
+            search.phase = Phase::Uncertain { since: now };
+            self.uncertain.push(flow);
+            self.reconsider_at = now;
+        }
+    }
+
     /// Ends the search for a flow's owner.
     pub(super) fn remove(&mut self, flow: Flow) {
         self.by_flow.remove(&flow);
--- a/crates/lavenderseam_passthrough/src/balancer/verification.rs
+++ b/crates/lavenderseam_passthrough/src/balancer/verification.rs
@@ -44,9 +44,9 @@
         if !is_complete {
             return Vec::new();
         }
-        self.visit_or_end(flow, undecided, now)
-            .into_iter()
-            .collect()
+        let mut actions = Vec::new();
+        self.visit_or_end(flow, undecided, now, &mut actions);
+        actions
     }
 
     /// Continues the verifications in progress, and starts those whose turn it is.
@@ -106,6 +106,6 @@
         }
         let mut undecided = std::mem::take(&mut verification.undecided);
         undecided.append(&mut verification.awaited);
-        actions.extend(self.visit_or_end(flow, undecided, now));
+        self.visit_or_end(flow, undecided, now, actions);
     }
 }
--- a/crates/lavenderseam_passthrough/src/message.rs
+++ b/crates/lavenderseam_passthrough/src/message.rs
@@ -301,6 +301,24 @@
     pub balancers: Vec<SocketAddrV4>,
 }
 
+/// Asks another balancer which targets it knows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TargetsQuery {
+    /// Number that the reply repeats.
+    pub number: u64,
+}
+
+/// Answers another balancer that asks which targets are known here.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TargetsReply {
+    /// Number of the query.
+    pub number: u64,
+    /// Digest of the targets known to the sender, without terminated ones.
+    pub digest: u64,
+    /// `true` if the sender takes these targets for all that exist.
+    pub is_complete: bool,
+}
+
 /// Message between two processes.
 ///
 /// The binary encoding depends on the order of the variants.
@@ -333,6 +351,10 @@
     FlowDenied(FlowDenial),
     /// Reports open flows to a balancer that collects them for the store.
     FlowReport(FlowReport),
+    /// Asks another balancer which targets it knows.
+    TargetsQuery(TargetsQuery),
+    /// Answers a [`Message::TargetsQuery`].
+    TargetsReply(TargetsReply),
 }
 
 /// Error for a datagram that can't be encoded or decoded as a message.
--- a/crates/lavenderseam_passthrough/tests/conclusions.rs
+++ b/crates/lavenderseam_passthrough/tests/conclusions.rs
@@ -19,7 +19,7 @@
 };
 use lavenderseam_passthrough::message::{
     Announcement, FlowDenial, INCOMPLETE_TARGETS, Load, LocationQuery, LocationReply, Reason,
-    RecordVersions, ReturnHeader, TargetSnapshot, TargetState,
+    RecordVersions, ReturnHeader, TargetSnapshot, TargetState, TargetsQuery, TargetsReply,
 };
 
 const PORT: u16 = 1;
@@ -32,6 +32,11 @@
     SocketAddrV4::new(Ipv4Addr::new(10, 1, 0, 2), 7_000)
 }
 
+/// Another balancer than [`peer`].
+fn other_peer() -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::new(10, 1, 0, 3), 7_000)
+}
+
 fn registered(agents: &[u8]) -> Vec<RegisteredAgent> {
     let registration = |index: &u8| RegisteredAgent {
         address: agent(*index),
@@ -119,6 +124,51 @@
         self.balancer.on_gossip(&gossip, peer(), at_ms(ms));
     }
 
+    /// Handles gossip of a balancer that has just started.
+    fn hear_from_starting(&mut self, from: SocketAddrV4, ms: u64) {
+        let gossip = RecordVersions {
+            desired_revision: Revision(1),
+            targets_digest: INCOMPLETE_TARGETS,
+            ..RecordVersions::default()
+        };
+        self.balancer.on_gossip(&gossip, from, at_ms(ms));
+    }
+
+    /// Lets time pass, while agent 1 and the peer are heard.
+    fn pass_time(&mut self, from_ms: u64, to_ms: u64) {
+        for ms in (from_ms..=to_ms).step_by(500) {
+            self.announce(1, TargetState::Ready, ms);
+            self.hear_agreement(ms);
+            self.balancer.poll_searches(at_ms(ms));
+        }
+    }
+
+    /// Returns the answer of a balancer that knows the same targets.
+    fn same_targets(&mut self, query: TargetsQuery, ms: u64) -> TargetsReply {
+        let own = self.balancer.on_targets_query(query, peer(), at_ms(ms));
+        TargetsReply {
+            is_complete: true,
+            ..own
+        }
+    }
+
+    /// Answers the questions among `actions` for balancers that know the same targets.
+    fn agree(&mut self, actions: &[SearchAction], ms: u64) -> Vec<SearchAction> {
+        let mut further = Vec::new();
+        for (balancer, query) in questions(actions) {
+            let reply = self.same_targets(query, ms);
+            let actions = self.balancer.on_targets_reply(&reply, balancer, at_ms(ms));
+            further.extend(actions);
+        }
+        further
+    }
+
+    /// Searches for the flow, which agent 1 denies, the only known one; returns what follows.
+    fn search_in_vain(&mut self, ms: u64) -> Vec<SearchAction> {
+        let query = self.search(ms);
+        self.deny_query(1, &query, ms + 7)
+    }
+
     /// Handles a packet of the flow.
     fn send(&mut self, ms: u64) -> Verdict {
         self.balancer.on_caller_packet(&request(PORT, 1), at_ms(ms))
@@ -185,6 +235,15 @@
     matches!(verdict, Verdict::Forward { agent: to, .. } if *to == agent(index))
 }
 
+/// Returns the questions to other balancers among some actions.
+fn questions(actions: &[SearchAction]) -> Vec<(SocketAddrV4, TargetsQuery)> {
+    let questions = actions.iter().filter_map(|action| match action {
+        SearchAction::AskBalancer { balancer, query } => Some((*balancer, *query)),
+        _ => None,
+    });
+    questions.collect()
+}
+
 fn resets(actions: &[SearchAction]) -> bool {
     let reset = Resolution::Reset(DiscardReason::Unowned);
     let is_reset = |action: &SearchAction| matches!(action, SearchAction::Resolve { resolution, .. } if *resolution == reset);
@@ -204,7 +263,109 @@
     let first = fixture.deny_query(1, &query, 711);
     expect_that!(resets(&first), eq(false));
     let last = fixture.deny_query(2, &query, 711);
-    expect_that!(resets(&last), eq(true));
+    expect_that!(resets(&last), eq(false));
+    expect_that!(resets(&fixture.agree(&last, 713)), eq(true));
+}
+
+/// A balancer that opened the flow knows its target. What another one says, which has heard of no more
+/// targets than this one, doesn't count against it.
+#[gtest]
+fn a_flow_is_not_reset_while_one_balancer_knows_other_targets() {
+    let mut fixture = Fixture::new(&[1]);
+    fixture.announce(1, TargetState::Ready, 20);
+    fixture.hear_agreement(530);
+    fixture.hear_from_starting(other_peer(), 540);
+    let asked = fixture.search_in_vain(600);
+    let asked = questions(&asked);
+    expect_that!(asked, len(eq(2)));
+    let own = fixture.same_targets(asked[0].1, 610);
+    let replies = [
+        (peer(), own),
+        (
+            other_peer(),
+            TargetsReply {
+                digest: own.digest ^ 1,
+                ..own
+            },
+        ),
+    ];
+    for (balancer, reply) in replies {
+        let actions = fixture
+            .balancer
+            .on_targets_reply(&reply, balancer, at_ms(610));
+        expect_that!(resets(&actions), eq(false));
+    }
+    for ms in (610..2_600).step_by(50) {
+        let actions = fixture.balancer.poll_searches(at_ms(ms));
+        expect_that!(resets(&actions), eq(false));
+    }
+}
+
+/// A balancer that runs and doesn't answer may have opened the flow. Once it has been silent for so long
+/// that it has failed, it isn't waited for any more.
+#[gtest]
+fn a_flow_is_not_reset_while_a_running_balancer_does_not_answer() {
+    let mut fixture = Fixture::new(&[1]);
+    fixture.announce(1, TargetState::Ready, 20);
+    fixture.hear_from_starting(other_peer(), 500);
+    fixture.hear_agreement(530);
+    let search = |fixture: &mut Fixture, ms| {
+        let asked = fixture.search_in_vain(ms);
+        let silent: Vec<_> = asked
+            .into_iter()
+            .filter(|action| !matches!(action, SearchAction::AskBalancer { balancer, .. } if *balancer == other_peer()))
+            .collect();
+        resets(&fixture.agree(&silent, ms + 10))
+    };
+    expect_that!(search(&mut fixture, 600), eq(false));
+    fixture.pass_time(1_030, 5_530);
+    expect_that!(search(&mut fixture, 5_600), eq(true));
+}
+
+/// An answer that is under way while the agents are asked may have been sent before the flow was opened.
+#[gtest]
+fn an_answer_to_a_question_from_before_the_search_proves_nothing() {
+    let mut fixture = Fixture::new(&[1]);
+    fixture.announce(1, TargetState::Ready, 20);
+    fixture.hear_agreement(530);
+    let first = fixture.search_in_vain(600);
+    // The packets of the first search have been given up by then.
+    fixture.pass_time(1_030, 3_030);
+    let second = fixture.search_in_vain(3_100);
+    expect_that!(questions(&second), len(eq(1)));
+    expect_that!(resets(&fixture.agree(&first, 3_110)), eq(false));
+    expect_that!(resets(&fixture.agree(&second, 3_110)), eq(true));
+}
+
+/// Balancers that have just started, and haven't heard from a registered agent, agree with each other.
+#[gtest]
+fn agreement_of_balancers_that_may_not_know_all_targets_proves_nothing() {
+    let mut fixture = Fixture::new(&[1]);
+    fixture.announce(1, TargetState::Ready, 20);
+    fixture.hear_from_starting(peer(), 530);
+    let asked = fixture.search_in_vain(600);
+    let (balancer, query) = questions(&asked)[0];
+    let reply = TargetsReply {
+        is_complete: false,
+        ..fixture.same_targets(query, 610)
+    };
+    let actions = fixture
+        .balancer
+        .on_targets_reply(&reply, balancer, at_ms(610));
+    expect_that!(resets(&actions), eq(false));
+}
+
+/// A lost question or answer delays the conclusion until the question is repeated.
+#[gtest]
+fn a_question_without_answer_is_repeated() {
+    let mut fixture = Fixture::new(&[1]);
+    fixture.announce(1, TargetState::Ready, 20);
+    fixture.hear_agreement(530);
+    let asked = questions(&fixture.search_in_vain(600));
+    let due = fixture.balancer.next_search_at().unwrap();
+    let actions = fixture.balancer.poll_searches(due);
+    expect_that!(questions(&actions), eq(&asked));
+    expect_that!(resets(&fixture.agree(&actions, 660)), eq(true));
 }
 
 /// Agent 3, which holds the flow, is heard after the query was answered and before the last visit is.
@@ -276,12 +437,22 @@
     expect_that!(fixture.deny_by_both(700), eq(&Verdict::Hold));
     let query = fixture.queries(710).remove(0).1;
     fixture.deny_query(1, &query, 711);
-    expect_that!(resets(&fixture.deny_query(2, &query, 711)), eq(false));
+    let asked = fixture.deny_query(2, &query, 711);
+    expect_that!(resets(&asked), eq(false));
+    // The peer knows agent 1 alone.
+    let (balancer, query) = questions(&asked)[0];
+    let own = fixture.same_targets(query, 712);
+    let reply = TargetsReply {
+        digest: own.digest ^ 1,
+        ..own
+    };
+    let actions = fixture
+        .balancer
+        .on_targets_reply(&reply, balancer, at_ms(712));
+    expect_that!(resets(&actions), eq(false));
     // The peer knows agent 2, too.
-    fixture.hear_agreement(1_040);
-    let query = fixture.queries(1_100).remove(0).1;
-    fixture.deny_query(1, &query, 1_101);
-    expect_that!(resets(&fixture.deny_query(2, &query, 1_101)), eq(true));
+    let asked = fixture.balancer.poll_searches(at_ms(800));
+    expect_that!(resets(&fixture.agree(&asked, 801)), eq(true));
 }
 
 /// The peer has just started as well, so its agreement doesn't show that other targets don't exist.
@@ -352,7 +523,8 @@
         announcement,
     };
     fixture.balancer.merge_targets(&[snapshot], at_ms(606));
-    expect_that!(resets(&fixture.deny_query(1, &query, 607)), eq(true));
+    let asked = fixture.deny_query(1, &query, 607);
+    expect_that!(resets(&fixture.agree(&asked, 608)), eq(true));
 }
 
 /// Queries of an earlier run of the balancer may be answered late. The numbers of a run differ from
--- a/crates/lavenderseam_passthrough/tests/registered_targets.rs
+++ b/crates/lavenderseam_passthrough/tests/registered_targets.rs
@@ -192,3 +192,41 @@
     sim.run_for(milliseconds(3_000));
     expect_that!(sim.resets_of_held_flows, is_empty());
 }
+
+/// Balancers are added just before a target starts whose agent doesn't know them. They agree with each
+/// other, but a balancer of before has opened flows at that target, which must not be reset.
+#[gtest]
+fn flows_of_a_target_that_starts_beside_added_balancers_are_not_reset() {
+    for targets in [2, 10, 109] {
+        let mut sim = Simulation::new(&["a"], &vec!["a"; targets], 2);
+        let registered = registrations(&sim);
+        let new = sim.add_node("a", 2);
+        sim.start_agent(new);
+        // The agent has asked for the known balancers by then.
+        sim.run_for(milliseconds(800));
+        for _ in 0..3 {
+            let added = sim.add_balancer("a");
+            sim.start_balancer(added);
+            let balancer = sim.balancer_nodes[added].balancer.as_mut().unwrap();
+            balancer.set_registered_agents(&registered);
+        }
+        sim.run_for(milliseconds(200));
+        sim.start_backend(new, Duration::ZERO);
+        sim.run_for(milliseconds(250));
+        let first = sim.callers.len();
+        for _ in 0..2 * targets + 2 {
+            sim.send_request_to(0, milliseconds(2_500));
+        }
+        sim.run_for(milliseconds(50));
+        let is_used = sim.target_nodes[new].backend.flows() > 0;
+        expect_that!(is_used, eq(true), "{targets} targets");
+        for (index, caller) in sim.callers[first..].iter_mut().enumerate() {
+            caller.balancer = 1 + index % 3;
+        }
+        sim.run_for(milliseconds(4_000));
+        expect_that!(sim.resets_of_held_flows, is_empty(), "{targets} targets");
+        for caller in &sim.callers[first..] {
+            expect_that!(caller.outcome, eq(Outcome::Answered), "{targets} targets");
+        }
+    }
+}
--- a/crates/lavenderseam_passthrough/tests/simulation/mod.rs
+++ b/crates/lavenderseam_passthrough/tests/simulation/mod.rs
@@ -174,17 +174,8 @@
             rotates_balancers: false,
             next_port: 0,
         };
-        for (index, domain) in balancers.iter().enumerate() {
-            sim.balancer_nodes.push(BalancerNode {
-                balancer: None,
-                domain: (*domain).to_owned(),
-                address: process_address(1, index),
-                held_packets: BTreeMap::new(),
-                messages: 0,
-                cost_us: 0,
-                idle_at_us: 0,
-                busy_since_us: 0,
-            });
+        for domain in balancers {
+            sim.add_balancer(domain);
         }
         for domain in nodes {
             sim.add_node(domain, slots);
@@ -200,6 +191,22 @@
         sim
     }
 
+    /// Adds a balancer that isn't started; returns its index.
+    pub fn add_balancer(&mut self, domain: &str) -> usize {
+        let index = self.balancer_nodes.len();
+        self.balancer_nodes.push(BalancerNode {
+            balancer: None,
+            domain: domain.to_owned(),
+            address: process_address(1, index),
+            held_packets: BTreeMap::new(),
+            messages: 0,
+            cost_us: 0,
+            idle_at_us: 0,
+            busy_since_us: 0,
+        });
+        index
+    }
+
     /// Adds a node whose agent isn't started; returns its index.
     pub fn add_node(&mut self, domain: &str, slots: usize) -> usize {
         let index = self.target_nodes.len();
--- a/crates/lavenderseam_passthrough/tests/simulation/network.rs
+++ b/crates/lavenderseam_passthrough/tests/simulation/network.rs
@@ -71,6 +71,9 @@
                     self.queries += 1;
                     self.send(from, agent, Message::LocationQuery(query), None);
                 }
+                SearchAction::AskBalancer { balancer, query } => {
+                    self.send(from, balancer, Message::TargetsQuery(query), None);
+                }
                 SearchAction::Verify { flow, agents } => {
                     let held = &self.balancer_nodes[index].held_packets;
                     let packet = held.get(&flow).and_then(|packets| packets.last()).copied();
@@ -156,6 +159,14 @@
             }
             Message::FlowReport(report) => balancer.on_flow_report(&report, from, now),
             Message::Gossip(gossip) => balancer.on_gossip(&gossip, from, now),
+            Message::TargetsQuery(query) => {
+                let reply = balancer.on_targets_query(query, from, now);
+                self.send(own, from, Message::TargetsReply(reply), None);
+            }
+            Message::TargetsReply(reply) => {
+                let actions = balancer.on_targets_reply(&reply, from, now);
+                self.apply_search(index, actions);
+            }
             Message::Forward(_)
             | Message::Hello(_)
             | Message::LocationQuery(_)
@@ -287,6 +298,8 @@
         let is_search = match message {
             Message::LocationQuery(_)
             | Message::LocationReply(_)
+            | Message::TargetsQuery(_)
+            | Message::TargetsReply(_)
             | Message::Verify
             | Message::FlowHeld(_)
             | Message::FlowDenied(_) => true,
