--- a/crates/lavenderseam_node/src/agent/driver.rs
+++ b/crates/lavenderseam_node/src/agent/driver.rs
@@ -101,6 +101,13 @@
                         self.announce();
                     }
                 }
+                Ok((Message::RunReply(reply), _, from)) => {
+                    let now = self.process.clock.now();
+                    let actions = self.agent.borrow_mut().on_run_reply(reply, from, now);
+                    for action in actions {
+                        self.perform(action);
+                    }
+                }
                 Ok((Message::Verify, bytes, from)) => self.verify_packet(bytes, from),
                 Ok((Message::LocationQuery(query), _, from)) => {
                     let now = self.process.clock.now();
@@ -150,10 +157,6 @@
             let actions = self.agent.borrow_mut().tick(now);
             for action in actions {
                 match action {
-                    Action::Announce { to, announcement } => {
-                        self.process
-                            .send(&Message::Announcement(announcement), &[], to);
-                    }
                     Action::LookUpBalancers => {
                         let (task_driver, directory) = (Rc::clone(&self), Rc::clone(&directory));
                         tokio::task::spawn_local(async move {
@@ -171,6 +174,10 @@
                             max_age_ms: max_age.as_millis() as u64,
                         });
                     }
+                    Action::Announce { .. }
+                    | Action::AskBalancer { .. }
+                    | Action::TellFlowsKnown { .. }
+                    | Action::PredecessorKnown { .. } => self.perform(action),
                 }
             }
             self.update_metrics(now);
@@ -309,13 +316,32 @@
         let now = self.process.clock.now();
         let actions = self.agent.borrow_mut().due_announcements(now);
         for action in actions {
-            if let Action::Announce { to, announcement } = action {
-                self.process
-                    .send(&Message::Announcement(announcement), &[], to);
-            }
+            self.perform(action);
         }
     }
 
+    /// Sends the message of an action to a balancer, or logs what the balancers have told.
+    fn perform(&self, action: Action) {
+        let (message, to) = match action {
+            Action::Announce { to, announcement } => (Message::Announcement(announcement), to),
+            Action::AskBalancer { to, query } => {
+                self.process.metrics.run_queries.inc();
+                (Message::RunQuery(query), to)
+            }
+            Action::TellFlowsKnown { to } => (Message::FlowsKnown, to),
+            Action::PredecessorKnown { has_predecessor } => {
+                let reason = if has_predecessor {
+                    "earlier agent known"
+                } else {
+                    "no earlier agent known"
+                };
+                return self.log_backend_state("", reason);
+            }
+            Action::LookUpBalancers | Action::ProbeBackend | Action::FlowsExpired { .. } => return,
+        };
+        self.process.send(&message, &[], to);
+    }
+
     /// Handles a packet that a balancer forwarded to this agent.
     fn handle_packet(&self, header: ForwardHeader, bytes: &mut [u8], balancer: SocketAddrV4) {
         self.process.metrics.packets.inc();
--- a/crates/lavenderseam_node/src/balancer/driver.rs
+++ b/crates/lavenderseam_node/src/balancer/driver.rs
@@ -384,6 +384,14 @@
                 };
                 self.apply_search_actions(actions, now);
             }
+            Message::RunQuery(query) => {
+                let reply = self.balancer.borrow().on_run_query(query, from);
+                self.process.send(&Message::RunReply(reply), &[], from);
+            }
+            Message::FlowsKnown => {
+                let actions = self.balancer.borrow_mut().on_flows_known(from, now);
+                self.start_queries(actions, now);
+            }
             Message::FlowReport(report) => {
                 let mut balancer = self.balancer.borrow_mut();
                 balancer.on_flow_report(&report, from, now);
@@ -391,6 +399,7 @@
             Message::Forward(_)
             | Message::Hello(_)
             | Message::LocationQuery(_)
+            | Message::RunReply(_)
             | Message::Verify => {
                 self.process.log(&Event::MalformedInput {
                     source: "process",
--- a/crates/lavenderseam_node/src/metrics.rs
+++ b/crates/lavenderseam_node/src/metrics.rs
@@ -72,6 +72,8 @@
     pub location_queries: Counter,
     /// Number of questions to other balancers about the targets that they know.
     pub targets_queries: Counter,
+    /// Number of questions of an agent to balancers about its earlier runs.
+    pub run_queries: Counter,
     /// Number of copies of packets that a balancer sent to agents, or an agent received, to verify
     /// their flows.
     pub verifications: Counter,
@@ -143,6 +145,12 @@
             "Questions to balancers about their targets",
             targets_queries,
         );
+        let run_queries = self.run_queries.clone();
+        registry.register(
+            "run_queries",
+            "Questions to balancers about earlier runs of the agent",
+            run_queries,
+        );
         let verifications = self.verifications.clone();
         registry.register("verifications", "Copies to verify flows", verifications);
         registry.register("malformed", "Unreadable input", self.malformed.clone());
--- a/crates/lavenderseam_passthrough/src/agent/backend/mod.rs
+++ b/crates/lavenderseam_passthrough/src/agent/backend/mod.rs
@@ -72,6 +72,7 @@
     pub(crate) fn apply(
         &mut self,
         heartbeat: &Heartbeat,
+        has_predecessor: Option<bool>,
         settings: &Settings,
         now: Instant,
     ) -> Result<HeartbeatEffect, Rejection> {
@@ -101,9 +102,13 @@
             return Ok(HeartbeatEffect::Starting { is_new });
         }
         let first_sequence = series.first_sequence;
+        let mut depends_on_predecessor = false;
         let all_flows_seen = match &self.state {
             BackendState::Unknown => {
-                first_sequence < SERVING_HEARTBEAT_SEQUENCE && !self.was_silent_at_start
+                let is_early = first_sequence < SERVING_HEARTBEAT_SEQUENCE;
+                let may_be_new = is_early && !self.was_silent_at_start;
+                depends_on_predecessor = may_be_new && has_predecessor != Some(true);
+                may_be_new && has_predecessor == Some(false)
             }
             BackendState::Absent => true,
             // The agent may have let flows through to the new run in the belief that the known one
@@ -111,13 +116,16 @@
             // flows of the known one, the agent before it may have done so as well.
             BackendState::Running(run) | BackendState::Terminated(run) => {
                 let is_first = first_sequence == FIRST_HEARTBEAT_SEQUENCE;
-                (is_first && run.all_flows_seen) || self.has_closed_port()
+                let has_closed_port = self.has_closed_port();
+                depends_on_predecessor = is_first && run.depends_on_predecessor && !has_closed_port;
+                (is_first && run.all_flows_seen) || has_closed_port
             }
         };
         self.out_of_order.clear();
         // Another run may still be starting.
         self.candidates.remove_run_of(heartbeat);
-        Ok(self.start_run(heartbeat, series.len(), all_flows_seen, now))
+        let run = BackendRun::new(heartbeat, series.len(), all_flows_seen, now);
+        Ok(self.start_run(run.with_dependence_on_predecessor(depends_on_predecessor)))
     }
 
     /// Returns `true` if the known run goes on with a heartbeat that doesn't follow its last one.
@@ -170,7 +178,7 @@
         }
         if let BackendState::Terminated(run) = &mut self.state {
             // The evidence of its end was wrong, so that it still holds its flows.
-            run.all_flows_seen = false;
+            run.doubt_flows();
             self.state = BackendState::Running(run.clone());
             HeartbeatEffect::Resumed
         } else if state_changed || had_candidate {
@@ -180,15 +188,9 @@
         }
     }
 
-    /// Starts the run of a heartbeat.
-    fn start_run(
-        &mut self,
-        heartbeat: &Heartbeat,
-        heartbeats: u64,
-        all_flows_seen: bool,
-        now: Instant,
-    ) -> HeartbeatEffect {
-        let run = BackendRun::new(heartbeat, heartbeats, all_flows_seen, now);
+    /// Starts another run.
+    fn start_run(&mut self, run: BackendRun) -> HeartbeatEffect {
+        let all_flows_seen = run.all_flows_seen;
         let previous = std::mem::replace(&mut self.state, BackendState::Running(run));
         let replaces_running = matches!(previous, BackendState::Running(_));
         HeartbeatEffect::NewRun {
@@ -291,7 +293,41 @@
             return false;
         };
         let has_forgotten = run.expired_after.is_some_and(|expired| expired < max_age);
-        has_forgotten && std::mem::replace(&mut run.all_flows_seen, false)
+        let had_seen_all = run.all_flows_seen;
+        if has_forgotten {
+            run.doubt_flows();
+        }
+        has_forgotten && had_seen_all
+    }
+
+    /// Returns `true` if it depends on earlier runs of the agent whether this one has seen every flow that
+    /// the backend server may hold.
+    pub(crate) fn depends_on_predecessor(&self) -> bool {
+        match &self.state {
+            BackendState::Unknown => self.candidates.may_be_starting() && !self.was_silent_at_start,
+            BackendState::Running(run) | BackendState::Terminated(run) => {
+                run.depends_on_predecessor
+            }
+            BackendState::Absent => false,
+        }
+    }
+
+    /// Applies what the balancers know of earlier runs of the agent; returns `true` if it changes what the
+    /// agent knows of the flows.
+    pub(crate) const fn on_predecessor_known(&mut self, has_predecessor: bool) -> bool {
+        let (BackendState::Running(run) | BackendState::Terminated(run)) = &mut self.state else {
+            return false;
+        };
+        if !run.depends_on_predecessor {
+            return false;
+        }
+        let had_seen_all = run.all_flows_seen;
+        if has_predecessor {
+            run.doubt_flows();
+        } else {
+            run.all_flows_seen = true;
+        }
+        had_seen_all == has_predecessor
     }
 
     /// Returns `true` if the agent has seen every flow that the backend server may hold.
--- a/crates/lavenderseam_passthrough/src/agent/backend/run.rs
+++ b/crates/lavenderseam_passthrough/src/agent/backend/run.rs
@@ -30,6 +30,8 @@
     warm_at: Instant,
     /// `true` if the agent has seen every flow that this run may hold.
     pub(super) all_flows_seen: bool,
+    /// `true` if the agent has seen every flow unless an agent before it has let some through.
+    pub(super) depends_on_predecessor: bool,
     /// Shortest idle time after which the agent has stopped tracking flows of this run.
     pub(super) expired_after: Option<Duration>,
     /// `true` if the port of the backend server was closed at the end of this run.
@@ -56,12 +58,19 @@
             heard_at: now,
             warm_at: now + heartbeat.cold_remaining,
             all_flows_seen,
+            depends_on_predecessor: false,
             expired_after: None,
             port_closed: false,
             departed: false,
         }
     }
 
+    /// Sets whether the agent has seen every flow unless an agent before it has let some through.
+    pub(super) const fn with_dependence_on_predecessor(mut self, depends: bool) -> Self {
+        self.depends_on_predecessor = depends;
+        self
+    }
+
     /// Returns `true` if a heartbeat belongs to this run.
     pub(super) fn is_run_of(&self, heartbeat: &Heartbeat) -> bool {
         heartbeat.belongs_to(&self.id, self.started_at_ms)
@@ -95,6 +104,12 @@
         self.departed = false;
     }
 
+    /// Records that the backend server may hold flows that the agent doesn't know.
+    pub(super) const fn doubt_flows(&mut self) {
+        self.all_flows_seen = false;
+        self.depends_on_predecessor = false;
+    }
+
     /// Returns `true` if a heartbeat of the run is overdue: by half an interval, because intervals vary
     /// and a call takes its time.
     pub(super) fn is_silent(&self, settings: &Settings, now: Instant) -> bool {
--- a/crates/lavenderseam_passthrough/src/agent/balancers.rs
+++ b/crates/lavenderseam_passthrough/src/agent/balancers.rs
@@ -17,6 +17,8 @@
     last_announced: Option<Instant>,
     /// Time of the last request for the balancers that this one knows.
     last_balancers_request: Option<Instant>,
+    /// Whether the balancer knows of an earlier run of the agent; `None` if it hasn't told.
+    knows_predecessor: Option<bool>,
 }
 
 /// Balancer that an announcement is due to.
@@ -28,6 +30,8 @@
     pub(crate) recently_received: bool,
     /// `true` if the announcement requests the list of known balancers.
     pub(crate) wants_balancers: bool,
+    /// `true` if the balancer hasn't told whether it knows of an earlier run of the agent.
+    pub(crate) is_unasked: bool,
 }
 
 /// Balancers known to the agent.
@@ -43,6 +47,11 @@
     fn recently_received(&self, settings: &Settings, now: Instant) -> bool {
         self.ever_received && now.since(self.last_message_at) < settings.receipt_window
     }
+
+    /// Returns `true` if the balancer has never been heard although it had time to reply.
+    fn is_absent(&self, settings: &Settings, now: Instant) -> bool {
+        !self.ever_received && now.since(self.last_message_at) >= settings.introduction_period
+    }
 }
 
 impl Balancers {
@@ -53,6 +62,7 @@
             ever_received: false,
             last_announced: None,
             last_balancers_request: None,
+            knows_predecessor: None,
         });
     }
 
@@ -106,12 +116,41 @@
                     address: *address,
                     recently_received,
                     wants_balancers,
+                    is_unasked: balancer.knows_predecessor.is_none(),
                 });
             }
         }
         due
     }
 
+    /// Records whether a balancer knows of an earlier run of the agent.
+    pub(crate) fn on_run_reply(&mut self, address: SocketAddrV4, has_predecessor: bool) {
+        if let Some(balancer) = self.entries.get_mut(&address) {
+            balancer.knows_predecessor = Some(has_predecessor);
+        }
+    }
+
+    /// Returns whether a balancer knows of an earlier run of the agent; `None` if none does so far, and
+    /// one that may do so hasn't answered.
+    pub(crate) fn knows_predecessor(&self, settings: &Settings, now: Instant) -> Option<bool> {
+        let mut is_answered = false;
+        let mut is_awaited = false;
+        for balancer in self.entries.values() {
+            match balancer.knows_predecessor {
+                Some(true) => return Some(true),
+                Some(false) => is_answered = true,
+                None => is_awaited |= !balancer.is_absent(settings, now),
+            }
+        }
+        (is_answered && !is_awaited).then_some(false)
+    }
+
+    /// Returns the balancers that have sent messages.
+    pub(crate) fn heard(&self) -> impl Iterator<Item = SocketAddrV4> {
+        let heard = self.entries.iter().filter(|(_, entry)| entry.ever_received);
+        heard.map(|(address, _)| *address)
+    }
+
     /// Returns `true` if no message from a balancer has arrived for so long that the agent should
     /// look balancers up in the store.
     pub(crate) fn needs_lookup(&mut self, settings: &Settings, now: Instant) -> bool {
--- a/crates/lavenderseam_passthrough/src/agent/cold_start.rs
+++ b/crates/lavenderseam_passthrough/src/agent/cold_start.rs
@@ -55,6 +55,11 @@
         self.unrecorded_until = now + WINDOW;
     }
 
+    /// Ends that wait, because no previous run of the agent has admitted flows.
+    pub(crate) fn end_wait(&mut self) {
+        self.unrecorded_until = Instant::default();
+    }
+
     fn evict_expired(&mut self, now: Instant) {
         while self
             .admitted
--- a/crates/lavenderseam_passthrough/src/agent/mod.rs
+++ b/crates/lavenderseam_passthrough/src/agent/mod.rs
@@ -31,7 +31,7 @@
 use crate::flow::{Flow, FlowMap};
 use crate::message::{
     Announcement, FlowConfirmation, FlowDenial, ForwardHeader, Hello, Load, Reason, ReturnHeader,
-    ServiceId, TargetState,
+    RunQuery, RunReply, ServiceId, TargetState,
 };
 use crate::segment::Segment;
 use admission::Admission;
@@ -142,6 +142,24 @@
     },
     /// Look up the addresses of balancers in the store.
     LookUpBalancers,
+    /// Ask a balancer whether it knows of an earlier run of the agent.
+    AskBalancer {
+        /// Balancer to ask.
+        to: SocketAddrV4,
+        /// Query to send.
+        query: RunQuery,
+    },
+    /// Tell a balancer that the agent denies flows that it doesn't know from now on.
+    TellFlowsKnown {
+        /// Balancer to tell.
+        to: SocketAddrV4,
+    },
+    /// Reports that the balancers have told whether an earlier run of the agent may have let flows
+    /// through to the backend server.
+    PredecessorKnown {
+        /// `true` if one may have done so.
+        has_predecessor: bool,
+    },
     /// Probe the backend server, which has left packets unanswered or bounced packets that it
     /// should accept.
     ProbeBackend,
@@ -420,7 +438,10 @@
         self.identity.check(heartbeat)?;
         let was_starting = self.backend.has_candidate();
         let had_run = self.backend.has_run();
-        let outcome = self.backend.apply(heartbeat, &self.settings, now)?;
+        let predecessor = self.balancers.knows_predecessor(&self.settings, now);
+        let outcome = self
+            .backend
+            .apply(heartbeat, predecessor, &self.settings, now)?;
         self.backend_used_at = Some(now);
         match outcome {
             HeartbeatEffect::Unchanged => {}
@@ -515,6 +536,36 @@
         }
     }
 
+    /// Handles the answer of a balancer that was asked about earlier runs of the agent.
+    pub fn on_run_reply(
+        &mut self,
+        reply: RunReply,
+        from: SocketAddrV4,
+        now: Instant,
+    ) -> Vec<Action> {
+        self.balancers.on_message(from, &self.settings, now);
+        if reply.run == self.identity.run_id {
+            self.balancers.on_run_reply(from, reply.has_predecessor);
+        }
+        self.apply_predecessor(now)
+    }
+
+    /// Applies what the balancers know of earlier runs of the agent.
+    fn apply_predecessor(&mut self, now: Instant) -> Vec<Action> {
+        let known = self.balancers.knows_predecessor(&self.settings, now);
+        let is_new = |has_predecessor: &bool| self.backend.on_predecessor_known(*has_predecessor);
+        let Some(has_predecessor) = known.filter(is_new) else {
+            return Vec::new();
+        };
+        let mut actions = vec![Action::PredecessorKnown { has_predecessor }];
+        if !has_predecessor {
+            self.cold_start.end_wait();
+            let tell = |to| Action::TellFlowsKnown { to };
+            actions.extend(self.balancers.heard().map(tell));
+        }
+        actions
+    }
+
     /// Adds the address of a balancer.
     pub fn add_balancer(&mut self, balancer: SocketAddrV4, now: Instant) {
         self.balancers.insert(balancer, now);
@@ -545,11 +596,12 @@
         if probes && self.liveness.take_probe_due(is_suspect, now) {
             actions.push(Action::ProbeBackend);
         }
+        actions.extend(self.apply_predecessor(now));
         actions.extend(self.due_announcements(now));
         actions
     }
 
-    /// Returns the announcements that are due.
+    /// Returns the announcements that are due, and the questions to their recipients.
     pub fn due_announcements(&mut self, now: Instant) -> Vec<Action> {
         let to_all = std::mem::take(&mut self.announce_to_all);
         let due = self.balancers.due(&self.settings, to_all, now);
@@ -575,7 +627,18 @@
                 ..announcement.clone()
             },
         };
-        due.into_iter().map(announce).collect()
+        let query = RunQuery {
+            run: self.identity.run_id,
+        };
+        let asks = self.backend.depends_on_predecessor();
+        let unasked = due.iter().filter(|recipient| asks && recipient.is_unasked);
+        let questions = unasked.map(|recipient| Action::AskBalancer {
+            to: recipient.address,
+            query,
+        });
+        let mut actions: Vec<Action> = questions.collect();
+        actions.extend(due.into_iter().map(announce));
+        actions
     }
 
     /// Returns the state of the target.
--- a/crates/lavenderseam_passthrough/src/balancer/mod.rs
+++ b/crates/lavenderseam_passthrough/src/balancer/mod.rs
@@ -45,7 +45,7 @@
 use crate::message::{
     Announcement, AttemptedTargets, FlowConfirmation, FlowReport, ForwardHeader, Hello,
     INCOMPLETE_TARGETS, LocationQuery, MAX_ATTEMPTED_TARGETS, Reason, RecordVersions, ReturnHeader,
-    ServiceId, TargetId, TargetSnapshot,
+    RunQuery, RunReply, ServiceId, TargetId, TargetSnapshot,
 };
 use crate::segment::Segment;
 use agreement::Agreements;
@@ -312,6 +312,25 @@
         }
     }
 
+    /// Answers an agent that asks whether an earlier run of it is known.
+    #[must_use]
+    pub fn on_run_query(&self, query: RunQuery, agent: SocketAddrV4) -> RunReply {
+        let has_predecessor = self
+            .targets
+            .has_predecessor(TargetId::new(agent), query.run);
+        RunReply {
+            run: query.run,
+            has_predecessor,
+        }
+    }
+
+    /// Handles the message of an agent that denies flows that it doesn't know from now on, and asks it
+    /// about those that it has confirmed.
+    pub fn on_flows_known(&mut self, agent: SocketAddrV4, now: Instant) -> Vec<SearchAction> {
+        self.targets.mark_restarted(TargetId::new(agent));
+        self.start_revalidations(now)
+    }
+
     /// Handles gossip of another balancer.
     pub fn on_gossip(&mut self, gossip: &RecordVersions, from: SocketAddrV4, now: Instant) {
         self.peers
--- a/crates/lavenderseam_passthrough/src/balancer/settings.rs
+++ b/crates/lavenderseam_passthrough/src/balancer/settings.rs
@@ -127,8 +127,8 @@
     /// Number of registered agents for each one that may have failed for good; more missing ones
     /// are taken to be starting.
     pub targets_per_failed_agent: usize,
-    /// Time for which the agreement of another balancer about the known targets counts: several
-    /// rounds of gossip.
+    /// Time for which gossip of another balancer that knows the same targets lets a starting balancer
+    /// reject new flows: several rounds of gossip.
     pub agreement_lifetime: Duration,
     /// Minimum uptime for the same conclusion if the balancer knows no other balancer to compare
     /// its targets with.
--- a/crates/lavenderseam_passthrough/src/balancer/target.rs
+++ b/crates/lavenderseam_passthrough/src/balancer/target.rs
@@ -28,6 +28,8 @@
     pub(crate) last_message_at: Instant,
     pub(super) load: Load,
     pub(super) run: u64,
+    /// `true` if an earlier run of the agent was known, which may have let flows through.
+    pub(super) has_predecessor: bool,
     pub(super) sequence: u64,
     /// `true` if the agent receives messages from this balancer.
     pub(super) receives_from_balancer: bool,
@@ -60,6 +62,7 @@
             last_message_at: now,
             load: announcement.load,
             run: announcement.run,
+            has_predecessor: false,
             sequence: announcement.sequence,
             receives_from_balancer: announcement.hears_recipient,
             received_directly: true,
--- a/crates/lavenderseam_passthrough/src/balancer/targets.rs
+++ b/crates/lavenderseam_passthrough/src/balancer/targets.rs
@@ -81,6 +81,7 @@
         let changed = existing.state != announcement.state
             || existing.service != service
             || existing.domain != announcement.domain;
+        existing.has_predecessor |= existing.run != announcement.run;
         existing.run = announcement.run;
         existing.sequence = announcement.sequence;
         existing.receives_from_balancer = announcement.hears_recipient;
@@ -106,6 +107,12 @@
         }
     }
 
+    /// Returns `true` if an earlier run of an agent than `run` is known.
+    pub(crate) fn has_predecessor(&self, id: TargetId, run: u64) -> bool {
+        let known = self.by_id.get(&id);
+        known.is_some_and(|known| known.has_predecessor || known.run != run)
+    }
+
     /// Returns `true` if an agent of a service has restarted within `time`.
     pub(crate) fn has_agent_restarted_within(
         &self,
@@ -146,6 +153,7 @@
                 existing.is_some_and(|existing| existing.receives_from_balancer);
             target.received_directly = existing.is_some_and(|existing| existing.received_directly);
             target.unresponsive = existing.is_some_and(|existing| existing.unresponsive);
+            target.has_predecessor = self.has_predecessor(id, target.run);
             // The announcements of another run count from 1 again.
             let same_run = existing.filter(|existing| existing.run == target.run);
             target.sequence = same_run.map_or(0, |existing| existing.sequence);
--- a/crates/lavenderseam_passthrough/src/message.rs
+++ b/crates/lavenderseam_passthrough/src/message.rs
@@ -319,6 +319,22 @@
     pub is_complete: bool,
 }
 
+/// Asks a balancer whether it knows of an earlier run of the agent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RunQuery {
+    /// Identifier of this run of the agent.
+    pub run: u64,
+}
+
+/// Answers an agent that asks about its earlier runs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RunReply {
+    /// Identifier of the run that asked.
+    pub run: u64,
+    /// `true` if the balancer knows of an earlier run, to which flows may have been forwarded.
+    pub has_predecessor: bool,
+}
+
 /// Message between two processes.
 ///
 /// The binary encoding depends on the order of the variants.
@@ -355,6 +371,12 @@
     TargetsQuery(TargetsQuery),
     /// Answers a [`Message::TargetsQuery`].
     TargetsReply(TargetsReply),
+    /// Asks a balancer whether it knows of an earlier run of the agent.
+    RunQuery(RunQuery),
+    /// Answers a [`Message::RunQuery`].
+    RunReply(RunReply),
+    /// Tells a balancer that the agent denies flows that it doesn't know from now on.
+    FlowsKnown,
 }
 
 /// Error for a datagram that can't be encoded or decoded as a message.
--- a/crates/lavenderseam_passthrough/tests/agent_backend.rs
+++ b/crates/lavenderseam_passthrough/tests/agent_backend.rs
@@ -4,6 +4,7 @@
 
 mod fixture;
 
+use std::net::{Ipv4Addr, SocketAddrV4};
 use std::time::Duration;
 
 use fixture::{
@@ -17,7 +18,15 @@
     Action, Agent, Heartbeat, HeartbeatEffect, OutboundVerdict, Rejection,
     SERVING_HEARTBEAT_SEQUENCE, Verdict,
 };
-use lavenderseam_passthrough::message::{Reason, TargetState};
+use lavenderseam_passthrough::message::{Reason, RunReply, TargetState};
+
+/// The answer of a balancer that knows no earlier run of the agent.
+fn no_predecessor() -> RunReply {
+    RunReply {
+        run: 1,
+        has_predecessor: false,
+    }
+}
 
 #[gtest]
 fn restarted_agent_delivers_unknown_flows_to_backend() {
@@ -547,6 +556,7 @@
 fn agent_denies_flows_only_if_it_has_heard_the_run_before_its_serving_heartbeat() {
     let denies = |first_heard: u64| {
         let mut agent = agent_without_heartbeat();
+        agent.on_run_reply(no_predecessor(), BALANCER, at_ms(0));
         for sequence in first_heard..=SERVING_HEARTBEAT_SEQUENCE.max(first_heard + 1) {
             agent.on_heartbeat(&heartbeat(sequence), at_ms(0)).unwrap();
         }
@@ -562,6 +572,125 @@
     expect_that!(denies(57), eq(false));
 }
 
+/// Guards against an agent that restarts beside a run which has sent its first heartbeat, and denies the flows
+/// that the agent before it let through in the belief that the run before was still running. Only the
+/// balancers can tell that there was no such agent.
+#[gtest]
+fn an_agent_denies_flows_of_a_run_that_it_heard_early_only_if_no_agent_was_known_before_it() {
+    let other_balancer = SocketAddrV4::new(Ipv4Addr::new(10, 1, 0, 9), 7_000);
+    let known = RunReply {
+        has_predecessor: true,
+        ..no_predecessor()
+    };
+    let denies = |agent: &Agent, ms| {
+        let mut agent = agent.clone();
+        let verdict = agent.on_forwarded_packet(&request(1, 1), header(), BALANCER, at_ms(ms));
+        return_reason(&verdict) == Some(Reason::NotHeld)
+    };
+    for early in 2..SERVING_HEARTBEAT_SEQUENCE {
+        let mut agent = agent_without_heartbeat();
+        agent.add_balancer(other_balancer, at_ms(0));
+        for sequence in early..=SERVING_HEARTBEAT_SEQUENCE {
+            agent.on_heartbeat(&heartbeat(sequence), at_ms(0)).unwrap();
+        }
+        expect_that!(denies(&agent, 1), eq(false), "no answer");
+        let asked: Vec<_> = agent
+            .tick(at_ms(10))
+            .into_iter()
+            .filter_map(|action| match action {
+                Action::AskBalancer { to, .. } => Some(to),
+                _ => None,
+            })
+            .collect();
+        expect_that!(
+            asked,
+            unordered_elements_are![eq(&BALANCER), eq(&other_balancer)]
+        );
+        agent.on_run_reply(no_predecessor(), BALANCER, at_ms(20));
+        agent.tick(at_ms(20));
+        expect_that!(denies(&agent, 21), eq(false), "one of two answers");
+        let mut contradicted = agent.clone();
+        contradicted.on_run_reply(known, other_balancer, at_ms(30));
+        contradicted.tick(at_ms(30));
+        expect_that!(denies(&contradicted, 31), eq(false), "an agent was known");
+        let reply_to_another_run = RunReply {
+            run: no_predecessor().run + 1,
+            ..no_predecessor()
+        };
+        let mut misled = agent.clone();
+        misled.on_run_reply(reply_to_another_run, other_balancer, at_ms(30));
+        misled.tick(at_ms(30));
+        expect_that!(denies(&misled, 31), eq(false), "an answer to another run");
+        let actions = agent.on_run_reply(no_predecessor(), other_balancer, at_ms(30));
+        let told = Action::PredecessorKnown {
+            has_predecessor: false,
+        };
+        expect_that!(actions, contains(eq(&told)));
+        // The balancers ask about idle flows again, which the agent can deny from now on.
+        for to in [BALANCER, other_balancer] {
+            expect_that!(actions, contains(eq(&Action::TellFlowsKnown { to })));
+        }
+        expect_that!(denies(&agent, 31), eq(true), "no agent was known");
+        // A balancer that was out of reach knows more.
+        agent.on_run_reply(known, other_balancer, at_ms(40));
+        agent.tick(at_ms(40));
+        expect_that!(
+            denies(&agent, 41),
+            eq(false),
+            "an agent was known after all"
+        );
+    }
+}
+
+/// Guards against backend servers that get no flow for a second after a loss of power of everything, because the
+/// balancers tell only after their start that there was no agent before, whose flows would count.
+#[gtest]
+fn a_cold_backend_server_gets_flows_once_no_agent_is_known_before_its_agent() {
+    let mut agent = agent_without_heartbeat();
+    for sequence in 2..=SERVING_HEARTBEAT_SEQUENCE {
+        let mut cold = heartbeat(sequence);
+        cold.cold_remaining = Duration::from_secs(3);
+        agent.on_heartbeat(&cold, at_ms(0)).unwrap();
+    }
+    let mut limits = balancer_hello();
+    limits.cold_rate = Some(10.0);
+    agent.on_balancer_hello(&limits, BALANCER, at_ms(1));
+    let admits = |agent: &Agent, ms| {
+        let mut agent = agent.clone();
+        is_delivered(&agent.on_forwarded_packet(&syn(1), header(), BALANCER, at_ms(ms)))
+    };
+    expect_that!(admits(&agent, 10), eq(false));
+    let mut known = agent.clone();
+    let reply = RunReply {
+        has_predecessor: true,
+        ..no_predecessor()
+    };
+    known.on_run_reply(reply, BALANCER, at_ms(20));
+    known.tick(at_ms(20));
+    expect_that!(admits(&known, 30), eq(false));
+    agent.on_run_reply(no_predecessor(), BALANCER, at_ms(20));
+    agent.tick(at_ms(20));
+    expect_that!(admits(&agent, 30), eq(true));
+}
+
+/// A registered balancer need not run. One that never replies is waited for only while it may be starting.
+#[gtest]
+fn a_balancer_that_does_not_run_is_not_asked_for_ever() {
+    let mut agent = agent_without_heartbeat();
+    agent.add_balancer(
+        SocketAddrV4::new(Ipv4Addr::new(10, 1, 0, 9), 7_000),
+        at_ms(0),
+    );
+    agent.on_run_reply(no_predecessor(), BALANCER, at_ms(0));
+    for sequence in 2..=SERVING_HEARTBEAT_SEQUENCE {
+        agent.on_heartbeat(&heartbeat(sequence), at_ms(0)).unwrap();
+    }
+    agent.tick(at_ms(1_900));
+    expect_that!(agent.has_seen_all_flows(), eq(false));
+    agent.tick(at_ms(2_000));
+    expect_that!(agent.has_seen_all_flows(), eq(true));
+}
+
 /// Guards against an agent that restarts beside a run which hasn't sent a heartbeat yet, and denies the flows
 /// that the agent before it let through in the belief that the run before was still running.
 #[gtest]
--- a/crates/lavenderseam_passthrough/tests/flows.rs
+++ b/crates/lavenderseam_passthrough/tests/flows.rs
@@ -347,3 +347,33 @@
         expect_that!(balancer.is_ready(now), eq(true));
     }
 }
+
+/// Backend servers restart unnoticed and accept flows before their first heartbeats; their agents restart
+/// before the second ones. The flows are open and must not be reset.
+#[gtest]
+fn flows_of_unnoticed_restarts_survive_restarts_of_the_agents() {
+    for targets in [2, 10, 109] {
+        let mut sim = Simulation::new(&["a", "a"], &vec!["a"; targets], 4);
+        for node in 0..targets {
+            sim.target_nodes[node].backend.stop();
+            let first_heartbeat_after = Duration::from_millis(100);
+            sim.start_backend_unheard(node, Duration::ZERO, first_heartbeat_after);
+        }
+        for _ in 0..2 * targets {
+            sim.send_request_to(0, Duration::from_millis(2_500));
+        }
+        sim.run_for(Duration::from_millis(120));
+        for node in 0..targets {
+            sim.start_agent(node);
+        }
+        sim.run_for(Duration::from_millis(500));
+        for caller in &mut sim.callers {
+            caller.balancer = 1;
+        }
+        sim.run_for(Duration::from_millis(4_000));
+        expect_that!(sim.resets_of_held_flows, is_empty(), "{targets} targets");
+        for caller in &sim.callers {
+            expect_that!(caller.outcome, eq(Outcome::Answered), "{targets} targets");
+        }
+    }
+}
--- a/crates/lavenderseam_passthrough/tests/heartbeats.rs
+++ b/crates/lavenderseam_passthrough/tests/heartbeats.rs
@@ -14,10 +14,10 @@
 use lavenderseam_core::random::Sequence;
 use lavenderseam_core::time::Instant;
 use lavenderseam_passthrough::agent::{Agent, Heartbeat, SERVING_HEARTBEAT_SEQUENCE};
-use lavenderseam_passthrough::message::{Reason, TargetState};
+use lavenderseam_passthrough::message::{Reason, RunReply, TargetState};
 
 const SEEDS: u64 = 20_000;
-const STEPS: u64 = 40;
+const STEPS: u64 = 44;
 /// Heartbeats of the running backend server after which its agent must know it, whoever else was heard.
 const ROW: u64 = 24;
 
@@ -36,9 +36,8 @@
     other: u64,
     /// Flows that the backend server holds, by the ports of their callers.
     held: Vec<u16>,
-    /// `true` if it accepted one of them before its first heartbeat, or before its serving one because of
-    /// another writer.
-    has_unannounced: bool,
+    /// `true` if the balancers know of an agent before this one.
+    has_predecessor: bool,
     last_port: u16,
     now: Instant,
     random: Sequence,
@@ -55,7 +54,7 @@
             has_other_writer: seed % 2 == 1,
             other: 0,
             held: Vec::new(),
-            has_unannounced: false,
+            has_predecessor: false,
             last_port: 0,
             now: at_ms(0),
             random: Sequence::new(seed),
@@ -136,8 +135,6 @@
             open_with_request(&mut self.agent, port, self.now);
             self.last_port = port;
             self.held.push(port);
-            let is_early = self.sent < SERVING_HEARTBEAT_SEQUENCE;
-            self.has_unannounced |= self.sent == 0 || (self.has_other_writer && is_early);
         }
     }
 
@@ -146,20 +143,28 @@
         self.started_at_ms = 1 + u64::from(self.draw(2_000));
         self.sent = 0;
         self.held.clear();
-        self.has_unannounced = false;
     }
 
-    /// Restarts the agent, unless its successor could be misled: that no agent restarts then is assumed.
+    /// Starts the agent again.
     fn restart_agent(&mut self) {
-        let is_starting = (1..SERVING_HEARTBEAT_SEQUENCE).contains(&self.sent);
-        if !is_starting || !self.has_unannounced {
-            self.agent = agent_without_heartbeat();
-        }
+        self.agent = agent_without_heartbeat();
+        self.has_predecessor = true;
+    }
+
+    /// Answers the agent's question about earlier runs of it.
+    fn answer_question(&mut self) {
+        let reply = RunReply {
+            run: 1,
+            has_predecessor: self.has_predecessor,
+        };
+        self.agent.on_run_reply(reply, BALANCER, self.now);
+        self.agent.tick(self.now);
     }
 
     fn step(&mut self) {
         self.now = self.now + Duration::from_millis(1 + u64::from(self.draw(400)));
-        match self.draw(24) {
+        match self.draw(26) {
+            24..26 => self.answer_question(),
             20..24 if self.has_other_writer => self.send_other_heartbeat(),
             20..24 => {}
             0..9 => self.send_heartbeat(),
@@ -179,7 +184,9 @@
             _ => {
                 self.restart_backend();
                 self.sent = 1;
-                self.agent = agent_without_heartbeat();
+                self.restart_agent();
+                // The balancers may have lost power as well.
+                self.has_predecessor = self.draw(2) == 0;
                 if self.draw(2) == 0 {
                     self.late = Some(self.heartbeat());
                 }
--- a/crates/lavenderseam_passthrough/tests/location.rs
+++ b/crates/lavenderseam_passthrough/tests/location.rs
@@ -5,6 +5,7 @@
 mod fixture;
 mod simulation;
 
+use std::ops::Range;
 use std::time::Duration;
 
 use fixture::{
@@ -115,33 +116,59 @@
     }
 }
 
-/// Restarts all backend servers and agents of a service whose callers have idle flows, and has the
-/// callers use these at a balancer that doesn't know them; `agents_after` is the time after which the
-/// agents start. Returns the simulation, 550 ms after the agents can tell.
+/// Restarts all balancers, backend servers and agents of a service whose callers have idle flows, and has
+/// the callers use these at another balancer; `agents_after` is the time after which the agents start.
+/// Returns the simulation, 550 ms after the agents can tell, or the time of a round of queries if it is
+/// longer: the balancers have sent one before.
 fn lost_service(targets: usize, agents_after: Duration) -> Simulation {
+    let mut sim = service_with_idle_flows(targets);
+    let registered = sim.registrations();
+    for index in 0..sim.balancer_nodes.len() {
+        sim.start_balancer(index);
+        let balancer = sim.balancer_nodes[index].balancer.as_mut().unwrap();
+        balancer.set_registered_agents(&registered);
+    }
+    restart_nodes(&mut sim, 0..targets, agents_after);
+    sim
+}
+
+fn service_with_idle_flows(targets: usize) -> Simulation {
     let nodes = vec!["a"; targets];
     let slots = (FLOWS as usize * 2).div_ceil(targets).max(2);
     let mut sim = Simulation::new(&["a", "a"], &nodes, slots);
+    // The agents run before their backend servers do, and so see all flows.
+    for node in 0..targets {
+        sim.crash_backend(node);
+        sim.start_backend(node, Duration::ZERO);
+    }
+    sim.run_for(Duration::from_secs(1));
     sim.add_load(0, FLOWS * 5, milliseconds(200), milliseconds(2_500));
     sim.run_for(milliseconds(250));
-    for node in 0..targets {
+    sim
+}
+
+/// Restarts the backend servers and agents of nodes, and has all callers use a balancer that doesn't know
+/// their flows.
+fn restart_nodes(sim: &mut Simulation, nodes: Range<usize>, agents_after: Duration) {
+    for node in nodes.clone() {
         sim.target_nodes[node].backend.stop();
         sim.target_nodes[node].agent = None;
         sim.start_backend(node, Duration::ZERO);
     }
     sim.run_for(agents_after);
-    for node in 0..targets {
+    for node in nodes {
         sim.start_agent(node);
     }
     for caller in &mut sim.callers {
         caller.balancer = 1;
     }
     sim.search_cost = SearchCost::default();
-    sim.run_for(milliseconds(150 + 550));
-    sim
+    // A round takes 1 ms for each target.
+    let round = sim.target_nodes.len() as u64;
+    sim.run_for(milliseconds(150 + round.max(550)));
 }
 
-/// All backend servers and agents restart. The callers of their flows are reset once the agents can
+/// All processes restart. The callers of their flows are reset once the agents can
 /// tell, and the searches of a balancer cost a bounded number of messages a second.
 #[gtest]
 fn flows_without_owner_are_reset_quickly_in_large_services() {
@@ -169,6 +196,29 @@
     expect_that!(sim.verifications, le(3 * TARGETS as u64));
 }
 
+/// Guards against callers that wait for seconds after a failure domain was without power. The balancers of
+/// the other domains can't rule out that an agent before let flows through to the backend servers that run
+/// now, so that those verify the flows.
+#[gtest]
+fn flows_lost_with_a_failure_domain_are_reset_quickly() {
+    for targets in [10, 109] {
+        let mut sim = service_with_idle_flows(targets);
+        restart_nodes(&mut sim, 0..targets / 3, milliseconds(80));
+        let holds = |sim: &Simulation, caller: &simulation::Caller| {
+            let flow = caller.flow.unwrap();
+            let mut nodes = sim.target_nodes.iter();
+            nodes.any(|node| node.backend.holds_open(flow))
+        };
+        let waiting = sim
+            .callers
+            .iter()
+            .filter(|caller| caller.attempts == 1 && caller.outcome == Outcome::Pending);
+        let lost = waiting.filter(|caller| !holds(&sim, caller));
+        expect_that!(lost.count(), eq(0), "{targets} targets");
+        expect_that!(sim.resets_of_held_flows, is_empty(), "{targets} targets");
+    }
+}
+
 /// Lost queries and replies delay a search, but never lead to a wrong conclusion.
 #[gtest]
 fn lost_messages_reset_no_held_flow() {
--- a/crates/lavenderseam_passthrough/tests/messages.rs
+++ b/crates/lavenderseam_passthrough/tests/messages.rs
@@ -6,7 +6,8 @@
 use lavenderseam_passthrough::flow::Flow;
 use lavenderseam_passthrough::message::{
     Announcement, AttemptedTargets, FlowConfirmation, FlowReport, ForwardHeader, KnownFlow, Load,
-    MAX_FLOWS_PER_REPORT, Message, Reason, ReturnHeader, ServiceId, TargetId, TargetState,
+    MAX_FLOWS_PER_REPORT, Message, Reason, ReturnHeader, RunQuery, RunReply, ServiceId, TargetId,
+    TargetState, TargetsQuery, TargetsReply,
 };
 use proptest::prelude::*;
 
@@ -52,6 +53,22 @@
     let announcement = (any::<u64>(), "[a-z0-9]{0,40}", load(), any::<bool>());
     prop_oneof![
         header().prop_map(Message::Forward),
+        any::<u64>().prop_map(|number| Message::TargetsQuery(TargetsQuery { number })),
+        (any::<u64>(), any::<u64>(), any::<bool>()).prop_map(|(number, digest, is_complete)| {
+            Message::TargetsReply(TargetsReply {
+                number,
+                digest,
+                is_complete,
+            })
+        }),
+        any::<u64>().prop_map(|run| Message::RunQuery(RunQuery { run })),
+        Just(Message::FlowsKnown),
+        (any::<u64>(), any::<bool>()).prop_map(|(run, has_predecessor)| {
+            Message::RunReply(RunReply {
+                run,
+                has_predecessor,
+            })
+        }),
         returned.prop_map(|(reason, load, header)| {
             Message::Return(ReturnHeader {
                 reason,
--- a/crates/lavenderseam_passthrough/tests/registered_targets.rs
+++ b/crates/lavenderseam_passthrough/tests/registered_targets.rs
@@ -36,14 +36,6 @@
     }
 }
 
-fn registrations(sim: &Simulation) -> Vec<RegisteredAgent> {
-    let registration = |node: &simulation::TargetNode| RegisteredAgent {
-        address: node.address,
-        is_silent: false,
-    };
-    sim.target_nodes.iter().map(registration).collect()
-}
-
 /// Everything stops and starts again at the same time. Callers whose flows are lost are reset as
 /// soon as all registered agents have been heard, not only when the balancers have run for a while.
 #[gtest]
@@ -53,7 +45,7 @@
         sim.target_nodes[node].backend.stop();
         sim.target_nodes[node].agent = None;
     }
-    let registered = registrations(&sim);
+    let registered = sim.registrations();
     restart_balancers(&mut sim, &registered);
     for node in 0..TARGETS {
         sim.start_backend(node, Duration::ZERO);
@@ -84,7 +76,7 @@
         sim.target_nodes[node].backend.stop();
         sim.target_nodes[node].agent = None;
     }
-    let mut registered = registrations(&sim);
+    let mut registered = sim.registrations();
     registered[0].is_silent = true;
     restart_balancers(&mut sim, &registered);
     for node in 1..TARGETS {
@@ -135,7 +127,7 @@
     for node in 0..TARGETS {
         sim.target_nodes[node].agent = None;
     }
-    let registered = registrations(&sim);
+    let registered = sim.registrations();
     restart_balancers(&mut sim, &registered);
     for node in 0..TARGETS - 10 {
         sim.start_agent(node);
@@ -156,7 +148,7 @@
 #[gtest]
 fn flows_of_agents_that_registered_later_are_not_reset() {
     let mut sim = busy_service();
-    let registered = registrations(&sim)[..5].to_vec();
+    let registered = sim.registrations()[..5].to_vec();
     let balancer = sim.balancer_nodes[1].address;
     for node in 5..TARGETS {
         let agent = sim.target_nodes[node].address;
@@ -179,7 +171,7 @@
     for node in 0..TARGETS {
         sim.target_nodes[node].agent = None;
     }
-    let registered = registrations(&sim)[..5].to_vec();
+    let registered = sim.registrations()[..5].to_vec();
     restart_balancers(&mut sim, &registered);
     for node in 0..10 {
         sim.start_agent(node);
@@ -199,7 +191,7 @@
 fn flows_of_a_target_that_starts_beside_added_balancers_are_not_reset() {
     for targets in [2, 10, 109] {
         let mut sim = Simulation::new(&["a"], &vec!["a"; targets], 2);
-        let registered = registrations(&sim);
+        let registered = sim.registrations();
         let new = sim.add_node("a", 2);
         sim.start_agent(new);
         // The agent has asked for the known balancers by then.
--- a/crates/lavenderseam_passthrough/tests/revalidation.rs
+++ b/crates/lavenderseam_passthrough/tests/revalidation.rs
@@ -7,7 +7,7 @@
 
 use std::time::Duration;
 
-use fixture::pool::{Pool, agent_address};
+use fixture::pool::{Pool, Question, agent_address};
 use fixture::{BACKEND_ISN, at_ms, flow, request};
 use googletest::prelude::*;
 use lavenderseam_passthrough::balancer::{Action, DiscardReason, SearchAction, Verdict};
@@ -26,6 +26,23 @@
     expect_that!(resets, container_eq([flow(1), flow(2), flow(3)]));
 }
 
+/// Guards against idle callers that lose their next request after a loss of power of everything: the agent can't
+/// tell that the flows are lost until all balancers have told that they know no agent before it.
+#[gtest]
+fn idle_flows_are_asked_about_again_once_the_agent_can_tell() {
+    let mut pool = Pool::with_flows(&[1, 2]);
+    let questions = pool.announce(1, NEXT_RUN, TargetState::Ready, 3_000);
+    let (resets, _) = pool.answer(&questions[0], &[], &[0, 1], 3_005);
+    expect_that!(resets, is_empty());
+    let actions = pool.balancer.on_flows_known(agent_address(1), at_ms(3_200));
+    let mut queries = actions.into_iter().filter_map(|action| match action {
+        SearchAction::Query { agent, query } => Some(Question { agent, query }),
+        _ => None,
+    });
+    let (resets, _) = pool.answer(&queries.next().unwrap(), &[], &[], 3_205);
+    expect_that!(resets, container_eq([flow(1), flow(2)]));
+}
+
 /// An agent that restarts beside a running backend server, whose flows go on, can't tell at first.
 #[gtest]
 fn flows_of_a_backend_server_that_runs_on_are_kept() {
--- a/crates/lavenderseam_passthrough/tests/simulation/mod.rs
+++ b/crates/lavenderseam_passthrough/tests/simulation/mod.rs
@@ -20,7 +20,8 @@
 use lavenderseam_passthrough::agent::{self, Agent, HeartbeatEffect};
 use lavenderseam_passthrough::balancer::{self, Balancer, Checkpoint};
 use lavenderseam_passthrough::desired::{
-    DesiredState, OutOfServiceDomains, Repeatability, Route, ServiceLimits, WeightedService,
+    DesiredState, OutOfServiceDomains, RegisteredAgent, Repeatability, Route, ServiceLimits,
+    WeightedService,
 };
 use lavenderseam_passthrough::flow::Flow;
 use lavenderseam_passthrough::message::Message;
@@ -237,6 +238,15 @@
         self.schedule_heartbeat(index, 0);
     }
 
+    /// Returns the registrations of all agents.
+    pub fn registrations(&self) -> Vec<RegisteredAgent> {
+        let registration = |node: &TargetNode| RegisteredAgent {
+            address: node.address,
+            is_silent: false,
+        };
+        self.target_nodes.iter().map(registration).collect()
+    }
+
     /// Schedules the next heartbeat of a backend server, in place of the one scheduled before.
     fn schedule_heartbeat(&mut self, index: usize, delay_us: u64) {
         self.target_nodes[index].next_heartbeat_us = self.now_us + delay_us;
@@ -297,9 +307,14 @@
     }
 
     pub fn start_backend(&mut self, index: usize, cold: Duration) {
+        self.start_backend_unheard(index, cold, Duration::ZERO);
+    }
+
+    /// Starts a backend server that sends its first heartbeat after a delay.
+    pub fn start_backend_unheard(&mut self, index: usize, cold: Duration, delay: Duration) {
         let now_us = self.now_us;
         self.target_nodes[index].backend.start(now_us, cold);
-        self.schedule_heartbeat(index, 0);
+        self.schedule_heartbeat(index, as_micros(delay));
     }
 
     /// Applies a desired state at all balancers.
@@ -529,10 +544,19 @@
         cut || self.one_way_cuts.contains(&(from, to))
     }
 
-    fn announce(&mut self, from: SocketAddrV4, actions: Vec<agent::Action>) {
+    pub(super) fn announce(&mut self, from: SocketAddrV4, actions: Vec<agent::Action>) {
         for action in actions {
-            if let agent::Action::Announce { to, announcement } = action {
-                self.send(from, to, Message::Announcement(announcement), None);
+            match action {
+                agent::Action::Announce { to, announcement } => {
+                    self.send(from, to, Message::Announcement(announcement), None);
+                }
+                agent::Action::AskBalancer { to, query } => {
+                    self.send(from, to, Message::RunQuery(query), None);
+                }
+                agent::Action::TellFlowsKnown { to } => {
+                    self.send(from, to, Message::FlowsKnown, None);
+                }
+                _ => {}
             }
         }
     }
--- a/crates/lavenderseam_passthrough/tests/simulation/network.rs
+++ b/crates/lavenderseam_passthrough/tests/simulation/network.rs
@@ -167,9 +167,18 @@
                 let actions = balancer.on_targets_reply(&reply, from, now);
                 self.apply_search(index, actions);
             }
+            Message::FlowsKnown => {
+                let actions = balancer.on_flows_known(from, now);
+                self.apply_search(index, actions);
+            }
+            Message::RunQuery(query) => {
+                let reply = balancer.on_run_query(query, from);
+                self.send(own, from, Message::RunReply(reply), None);
+            }
             Message::Forward(_)
             | Message::Hello(_)
             | Message::LocationQuery(_)
+            | Message::RunReply(_)
             | Message::Verify => {
                 panic!("balancer: unexpected message")
             }
@@ -205,6 +214,10 @@
                 }
             }
             Message::Hello(hello) => agent.on_balancer_hello(&hello, from, now),
+            Message::RunReply(reply) => {
+                let actions = agent.on_run_reply(reply, from, now);
+                self.announce(own, actions);
+            }
             Message::LocationQuery(query) => {
                 let reply = agent.on_location_query(&query, from, now);
                 self.send(own, from, Message::LocationReply(reply), None);
--- a/model/heartbeats.pml
+++ b/model/heartbeats.pml
@@ -9,6 +9,9 @@
  * A run that is known is replaced once it is silent. Time isn't modelled: that it is silent is possible at any
  * moment.
  *
+ * An agent that starts beside a run which it hears early asks the balancers whether they know of an agent before
+ * it. Until they answer, it denies nothing.
+ *
  * Properties: a flow that the backend server holds is neither denied nor reported as ended; the heartbeats of
  * the running backend server are not rejected for good.
  *
@@ -23,12 +26,16 @@
  *   MUTANT_FORGET_START a run that becomes known ends the start of another
  *   MUTANT_REJECT_REPLACED
  *                       heartbeats of a run that was replaced are rejected
+ *   MUTANT_UNASKED      an early heartbeat shows that all flows have been seen, to an agent that hasn't asked the
+ *                       balancers
  *   MUTANT_SILENT_START the first heartbeat of a run shows that all flows have been
  *                       seen, to an agent that knows nothing and has not found the port closed
  *   MUTANT_UNSEEN       the first heartbeat of a run shows it to an agent that hasn't seen all flows of the run before
+ *   MUTANT_FALSE_START  the other writer counts its heartbeats from an early one on
+ * With FORGETFUL, all balancers restart with each agent, so that none knows of an agent before. Then one more
+ * premise is needed, which a mutant drops:
  *   MUTANT_DEAF         an agent restarts between the first heartbeat of a run and its serving one, after it has let
  *                       flows through to it in the belief that its predecessor still runs
- *   MUTANT_FALSE_START  the other writer counts its heartbeats from an early one on
  */
 
 /* Restarts of the agent and the backend server. */
@@ -60,6 +67,8 @@
 bool seen_all;          /* the agent has seen all flows of that run */
 bool tracked = false;   /* the agent tracks the flow */
 bool silent_start;      /* an agent that knows nothing has heard a first heartbeat */
+bool depends = false;   /* it has, unless an agent before it let some through */
+bool follows = false;   /* the balancers know of an agent before this one */
 /* Heartbeats in a row of each other run: numbers of the first (0: none) and last, and heartbeats of the known
  * run since. */
 byte first[SOURCES];
@@ -112,6 +121,12 @@
 #define FOLLOWS(run, number) (first[run] > 0 && number == last[run] + 1)
 #endif
 
+#ifdef FORGETFUL
+#define REMEMBERED false
+#else
+#define REMEMBERED true
+#endif
+
 inline forget_others() {
     for (index : 0 .. SOURCES - 1) {
         first[index] = 0;
@@ -136,10 +151,15 @@
 /* Another run is taken to be running. It may hold flows that the agent tracks. */
 inline replace(source, number) {
     if
-    :: known == UNKNOWN -> all = (HEARD_EARLY(source) && !STARTED_SILENTLY)
-    :: known == ABSENT || ended -> all = true
+    :: known == UNKNOWN ->
+        depends = (HEARD_EARLY(source) && !STARTED_SILENTLY);
+#ifdef MUTANT_UNASKED
+        all = depends
+#endif
+    :: known == ABSENT || ended -> all = true; depends = false
     :: known < ABSENT && !ended ->
-        all = (first[source] == 1 && SAW_PREDECESSOR)
+        all = (first[source] == 1 && SAW_PREDECESSOR);
+        depends = (first[source] == 1 && depends)
 #ifdef MUTANT_END_FLOWS
         ; assert(!(all && tracked && held)); tracked = false
 #endif
@@ -189,6 +209,7 @@
         :: HAS_CANDIDATE
         :: !HAS_CANDIDATE ->
             seen_all = (seen_all && !ended);
+            depends = (depends && !ended);
             ended = false
         fi
     :: known == source && number <= heard
@@ -220,6 +241,8 @@
     ended = false;
     tracked = false;
     seen_all = false;
+    depends = false;
+    follows = REMEMBERED;
     heard = 0;
     is_heard = false;
     silent_start = false;
@@ -235,10 +258,10 @@
     unannounced = false
 }
 
-#ifdef MUTANT_DEAF
-#define MAY_RESTART_AGENT true
-#else
+#if defined(FORGETFUL) && !defined(MUTANT_DEAF)
 #define MAY_RESTART_AGENT (sent == 0 || sent >= SERVING || !held || !unannounced)
+#else
+#define MAY_RESTART_AGENT true
 #endif
 
 #ifdef MUTANT_FALSE_START
@@ -285,16 +308,26 @@
         fi;
         tracked = false;
         forget_others() }
-    /* Both lose power, and the first heartbeat fails or is under way for long. */
+    /* Both lose power, perhaps with the balancers, and the first heartbeat fails or is under way for long. */
     :: atomic { restarts < RESTARTS ->
         restarts++;
         restart_backend();
         restart_agent();
         sent = 1;
         if
+        :: follows = false
+        :: skip
+        fi;
+        if
         :: skip
         :: late_run == NONE -> late_run = current; late_number = 1
         fi }
+    /* The balancers have told whether they know of an agent before this one. */
+    :: atomic { depends && IS_RUN(known) && (follows || !seen_all) ->
+        if
+        :: follows -> seen_all = false; depends = false
+        :: !follows -> seen_all = true
+        fi }
     /* A balancer asks whether the backend server holds the flow. */
     :: atomic { !tracked && (known == ABSENT || (IS_RUN(known) && (ended || seen_all))) -> assert(!held) }
     :: restarts == RESTARTS && sent == LAST && late_run == NONE -> break
